--- /dev/null
+++ b/src/coordination/gateway.ts
@@ -0,0 +1,80 @@
+import express, { type NextFunction, type Request, type Response } from 'express';
+import { type Log } from '../transport/log';
+import { JOB_REF } from '../protocol/jobs';
+import { parseReport, redirectAnswer, reportAnswer, type Command, type Report } from '../protocol/workers';
+import { type Runs, type UserAnswer } from './runs';
+
+/** How a report is answered: by the machine's owner, with a redirection, or not at all (`busy`). */
+export type ReportReply =
+  | { kind: 'answer'; token: number; commands: Command[] }
+  | { kind: 'redirect'; owner: string | null }
+  | { kind: 'busy' };
+
+export interface GatewayParts {
+  runs: Runs;
+  report: (report: Report, reply: (reply: ReportReply) => void) => void;
+  ready: () => boolean;
+  status: () => object;
+  log: Log;
+}
+
+const BODY_LIMIT = '64kb';
+
+/** The express routes; all that they know is how to speak. */
+export function gateway(parts: GatewayParts): express.Express {
+  const { runs, log } = parts;
+  const app = express();
+  app.disable('x-powered-by');
+  app.set('etag', false);
+  const json = express.json({ limit: BODY_LIMIT, strict: false, type: () => true });
+  const tell = (res: Response, answer: UserAnswer): void => {
+    if (answer.retryAfter !== undefined) res.setHeader('Retry-After', String(answer.retryAfter));
+    res.status(answer.status).json(answer.body);
+  };
+
+  app.post('/hello', json, (req: Request, res: Response) => {
+    const report = parseReport(req.body);
+    if (!report) {
+      log.info('malformed report');
+      res.status(400).json({ error: 'not a report' });
+      return;
+    }
+    parts.report(report, (reply) => {
+      if (reply.kind === 'answer') res.json(reportAnswer(reply.token, reply.commands));
+      else if (reply.kind === 'redirect') res.status(421).json(redirectAnswer(reply.owner));
+      else res.status(503).json({ error: 'not now' });
+    });
+  });
+  app.get('/v2/runs/:ref', async (req: Request, res: Response) => {
+    const ref = String(req.params['ref']);
+    tell(res, JOB_REF.test(ref) ? await runs.status(ref) : { status: 404, body: { error: 'no such job' } });
+  });
+  app.post('/v2/runs/:ref/cancel', async (req: Request, res: Response) => {
+    const ref = String(req.params['ref']);
+    tell(res, JOB_REF.test(ref) ? await runs.cancel(ref) : { status: 404, body: { error: 'no such job' } });
+  });
+  app.post('/v2/runs', json, async (req: Request, res: Response) => {
+    tell(res, await runs.submit(req.body));
+  });
+  app.get('/ready', (_req: Request, res: Response) => {
+    res.status(parts.ready() ? 200 : 503).json({});
+  });
+  app.get('/status', (_req: Request, res: Response) => {
+    res.json(parts.status());
+  });
+  app.use((_req: Request, res: Response) => {
+    res.status(404).json({ error: 'no such path' });
+  });
+  // Express tells an error handler by its four arguments.
+  app.use((error: unknown, _req: Request, res: Response, next: NextFunction) => {
+    if (res.headersSent) return next(error);
+    const status = (error as { status?: number }).status;
+    if (typeof status === 'number' && status >= 400 && status < 500) {
+      res.status(400).json({ error: String((error as Error).message).split('\n')[0] });
+      return;
+    }
+    log.error({ error }, 'request failed');
+    res.status(503).setHeader('Retry-After', '1').json({ error: 'failed' });
+  });
+  return app;
+}
--- /dev/null
+++ b/src/coordination/leader.ts
@@ -0,0 +1,525 @@
+import { Actor } from '../transport/actor';
+import { type Clock } from '../transport/clock';
+import { type HttpAnswer } from '../transport/http-client';
+import { type Log } from '../transport/log';
+import { Pacer } from '../transport/pacer';
+import { Priority, type Ledger } from '../storage/ledger';
+import { keys, PREFIX, type MachineRecord, type MemberRecord, type PartRecord } from '../protocol/records';
+import {
+  listPath,
+  parseCatalog,
+  parseMachineList,
+  parseRental,
+  rentalBody,
+  returnBody,
+  type ListedMachine,
+  type MachineType,
+  type RentalOrder,
+} from '../protocol/cloud';
+import { type PartLoad, type PeerMessage } from '../protocol/peers';
+import { type Settings, type Team } from '../protocol/settings';
+import { type Report } from '../protocol/workers';
+import { type Write } from '../protocol/store';
+import { scale, type FleetMachine } from './autoscale';
+import { type Member } from './member';
+
+type Message =
+  | { kind: 'tick' }
+  | { kind: 'changed' }
+  | { kind: 'load'; load: PartLoad; at: number }
+  | { kind: 'unknown-machine'; report: Report }
+  | { kind: 'listed'; machines: ListedMachine[]; at: number }
+  | { kind: 'rented'; order: RentalOrder; part: string; answer: HttpAnswer | null }
+  | { kind: 'returned'; machines: string[]; ok: boolean };
+
+export interface CloudTransport {
+  call(method: string, path: string, body: unknown, timeoutMs: number): Promise<HttpAnswer | null>;
+}
+
+interface Seen {
+  firstKnown: number;
+  firstListed: number | null;
+  status: ListedMachine['status'] | null;
+  reported: boolean;
+}
+
+const LIST_MS = 1500;
+const CATALOG_MS = 20_000;
+const SOLD_OUT_MS = 12_000;
+const LOAD_FRESH_MS = 6000;
+const CLOUD_MS = 4000;
+/** A new leader waits this long for the others before it first shares out the parts. */
+const GATHER_MS = 1500;
+
+/** Splits the teams into at most `count` parts of about the same guaranteed size. */
+export function splitTeams(teams: readonly Team[], count: number): string[][] {
+  const parts: { teams: string[]; cpus: number }[] = [];
+  for (let i = 0; i < Math.min(count, teams.length); i++) parts.push({ teams: [], cpus: 0 });
+  const largestFirst = [...teams].sort(
+    (a, b) => b.guaranteed.cpus - a.guaranteed.cpus || (a.name < b.name ? -1 : 1),
+  );
+  for (const team of largestFirst) {
+    const smallest = parts.reduce((a, b) => (b.cpus < a.cpus ? b : a));
+    smallest.teams.push(team.name);
+    smallest.cpus += Math.max(1, team.guaranteed.cpus);
+  }
+  return parts.map((p) => p.teams);
+}
+
+/** The one controller that shares out parts and machines and speaks with the cloud. */
+export class Leader extends Actor<Message> {
+  private leaderVersion = 0;
+  private since = 0;
+  private claiming = false;
+  private assigning = false;
+  private readonly loads = new Map<string, { load: PartLoad; at: number }>();
+  private readonly seen = new Map<string, Seen>();
+  private readonly gone = new Set<string>();
+  private readonly writing = new Set<string>();
+  private readonly returning = new Set<string>();
+  private readonly soldOut = new Map<string, number>();
+  private readonly rentsInFlight = new Map<string, number>();
+  private readonly handedOver = new Map<string, number>();
+  private rentals = 0;
+  private listedAt = Number.NEGATIVE_INFINITY;
+  private listing = false;
+  private catalogAt = Number.NEGATIVE_INFINITY;
+  private readonly pacer: Pacer;
+  types: ReadonlyMap<string, MachineType> = new Map();
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly member: Member,
+    private readonly ledger: Ledger,
+    private readonly cloud: CloudTransport,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly sendTo: (member: string, message: PeerMessage) => void,
+  ) {
+    super((error) => log.error({ error }, 'leader failed'));
+    this.pacer = new Pacer(settings.cloudRate * 0.8, settings.cloudRate);
+    ledger.changes.subscribe((change) => {
+      if ('deleted' in change && change.key.startsWith(`${PREFIX}machine/`)) {
+        this.gone.add(change.key.slice(`${PREFIX}machine/`.length));
+      }
+      if (change.key === keys.leader || change.key.startsWith(`${PREFIX}member/`)) this.tell({ kind: 'changed' });
+    });
+  }
+
+  get leading(): boolean {
+    return (
+      this.leaderVersion !== 0 &&
+      this.member.alive() &&
+      this.ledger.entries.get(keys.leader)?.version === this.leaderVersion
+    );
+  }
+
+  protected receive(message: Message): void {
+    const now = this.clock.steady();
+    switch (message.kind) {
+      case 'changed':
+        void this.claim();
+        if (this.leading) void this.assign(now);
+        return;
+      case 'tick':
+        void this.claim();
+        if (!this.leading) return;
+        void this.assign(now);
+        this.watchCloud(now);
+        this.scaleFleet(now);
+        return;
+      case 'load': {
+        this.loads.set(message.load.part, { load: message.load, at: message.at });
+        for (const m of message.load.machines) if (m.silentMs >= 0) this.seenOf(m.machine, now).reported = true;
+        return;
+      }
+      case 'unknown-machine':
+        if (this.leading) this.adopt(message.report.machine, message.report);
+        return;
+      case 'listed':
+        this.takeList(message.machines, message.at, now);
+        return;
+      case 'rented':
+        this.takeRental(message, now);
+        return;
+      case 'returned':
+        for (const id of message.machines) this.returning.delete(id);
+        if (message.ok) for (const id of message.machines) void this.forget(id);
+    }
+  }
+
+  // Leadership and parts.
+
+  private async claim(): Promise<void> {
+    if (this.claiming || !this.member.alive() || !this.ledger.synced) return;
+    const current = this.ledger.entries.get(keys.leader);
+    if (current) return;
+    this.claiming = true;
+    const record: MemberRecord = { member: this.member.name };
+    const result = await this.ledger.txn(
+      [
+        { key: keys.leader, version: 0 },
+        { key: keys.member(this.member.name), version: this.member.incarnation },
+      ],
+      [{ put: keys.leader, value: record, lease: this.member.lease }],
+      Priority.Decision,
+    );
+    if (result.kind === 'applied') {
+      this.leaderVersion = result.revision;
+      this.since = this.clock.steady();
+      this.seen.clear();
+      this.log.info({ version: result.revision }, 'leading');
+      await this.ledger.caughtUp(result.revision, 2000);
+    }
+    this.claiming = false;
+  }
+
+  private members(): Map<string, number> {
+    const alive = new Map<string, number>();
+    for (const [key, entry] of this.ledger.entries) {
+      if (key.startsWith(`${PREFIX}member/`)) alive.set((entry.value as MemberRecord).member, entry.version);
+    }
+    return alive;
+  }
+
+  parts(): { id: string; record: PartRecord; version: number }[] {
+    const parts = [];
+    for (const [key, entry] of this.ledger.entries) {
+      if (!key.startsWith(`${PREFIX}part/`)) continue;
+      parts.push({
+        id: key.slice(`${PREFIX}part/`.length),
+        record: entry.value as PartRecord,
+        version: entry.version,
+      });
+    }
+    return parts;
+  }
+
+  private async assign(now: number): Promise<void> {
+    if (this.assigning) return;
+    const members = this.members();
+    const peers = this.settings.peers.length + 1;
+    const parts = this.parts();
+    if (parts.length === 0 && members.size < peers && now - this.since < GATHER_MS) return;
+    this.assigning = true;
+    const held = new Map([...members.keys()].map((m) => [m, 0]));
+    for (const p of parts) if (held.has(p.record.owner)) held.set(p.record.owner, (held.get(p.record.owner) ?? 0) + 1);
+    const least = (): string | undefined => [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0];
+    try {
+      if (parts.length === 0) {
+        const split = splitTeams(this.settings.teams, peers);
+        for (const [i, teams] of split.entries()) {
+          const owner = least();
+          if (owner) await this.give(`p${i}`, teams, owner, members, 0, null);
+          if (owner) held.set(owner, (held.get(owner) ?? 0) + 1);
+        }
+        return;
+      }
+      for (const part of parts) {
+        const { owner, incarnation } = part.record;
+        if (members.get(owner) === incarnation) continue;
+        // The owner's grant has ended, or it has begun a new life and knows nothing of the old one's orders.
+        const next = members.has(owner) ? owner : least();
+        if (!next) continue;
+        const dead = members.has(owner) ? null : owner;
+        if (await this.give(part.id, part.record.teams, next, members, part.version, dead)) {
+          held.set(next, (held.get(next) ?? 0) + 1);
+        }
+      }
+      this.balance(parts, members, held, now);
+    } finally {
+      this.assigning = false;
+    }
+  }
+
+  private async give(
+    part: string,
+    teams: string[],
+    owner: string,
+    members: ReadonlyMap<string, number>,
+    version: number,
+    dead: string | null,
+  ): Promise<boolean> {
+    const incarnation = members.get(owner) ?? 0;
+    const record: PartRecord = { teams, owner, incarnation };
+    const conditions = [
+      { key: keys.leader, version: this.leaderVersion },
+      { key: keys.part(part), version },
+      { key: keys.member(owner), version: incarnation },
+    ];
+    // Applied late, it must not hit an owner that has come back meanwhile.
+    if (dead) conditions.push({ key: keys.member(dead), version: 0 });
+    const result = await this.ledger.txn(conditions, [{ put: keys.part(part), value: record }], Priority.Decision);
+    this.log.info({ part, owner, dead, result: result.kind }, 'part given');
+    return result.kind === 'applied';
+  }
+
+  /** A controller that holds nothing while another holds two parts or more gets one. */
+  private balance(
+    parts: readonly { id: string; record: PartRecord }[],
+    members: ReadonlyMap<string, number>,
+    held: ReadonlyMap<string, number>,
+    now: number,
+  ): void {
+    const empty = [...held].find(([, n]) => n === 0)?.[0];
+    if (!empty) return;
+    const from = [...held].sort((a, b) => b[1] - a[1])[0];
+    if (!from || from[1] < 2) return;
+    const part = parts.filter((p) => p.record.owner === from[0]).sort((a, b) => (a.id < b.id ? -1 : 1)).pop();
+    if (!part || now - (this.handedOver.get(part.id) ?? Number.NEGATIVE_INFINITY) < 5000) return;
+    this.handedOver.set(part.id, now);
+    this.sendTo(from[0], { kind: 'handover', part: part.id, to: empty });
+  }
+
+  // Machines.
+
+  private seenOf(id: string, now: number): Seen {
+    let seen = this.seen.get(id);
+    if (!seen) {
+      seen = { firstKnown: now, firstListed: null, status: null, reported: false };
+      this.seen.set(id, seen);
+    }
+    return seen;
+  }
+
+  private records(): { id: string; record: MachineRecord; version: number }[] {
+    const prefix = `${PREFIX}machine/`;
+    const machines = [];
+    for (const [key, entry] of this.ledger.entries) {
+      if (key.startsWith(prefix)) {
+        machines.push({ id: key.slice(prefix.length), record: entry.value as MachineRecord, version: entry.version });
+      }
+    }
+    return machines;
+  }
+
+  private watchCloud(now: number): void {
+    if (now - this.catalogAt > (this.types.size === 0 ? 1000 : CATALOG_MS) && this.pacer.take(now, 1)) {
+      this.catalogAt = now;
+      void this.fetchCatalog();
+    }
+    if (!this.listing && now - this.listedAt > LIST_MS && this.pacer.take(now, 1)) {
+      this.listedAt = now;
+      this.listing = true;
+      void this.fetchList();
+    }
+    const back = this.records()
+      .filter((m) => m.record.phase === 'returning' && !this.returning.has(m.id))
+      .map((m) => m.id)
+      .slice(0, 100);
+    if (back.length > 0 && this.pacer.take(now, 1)) {
+      for (const id of back) this.returning.add(id);
+      void this.cloud.call('POST', '/rentals/return', returnBody(back), CLOUD_MS).then((answer) => {
+        this.tell({ kind: 'returned', machines: back, ok: answer?.status === 200 });
+      });
+    }
+  }
+
+  private async fetchCatalog(): Promise<void> {
+    const answer = await this.cloud.call('GET', '/catalog', undefined, CLOUD_MS);
+    const types = answer?.status === 200 ? parseCatalog(answer.body) : null;
+    if (!types) return;
+    this.types = new Map(types.map((t) => [t.name, t]));
+    // The others learn the machine types from here, also while the cloud does not answer.
+    if (!this.ledger.entries.has(keys.catalog)) {
+      await this.ledger.txn(
+        [{ key: keys.catalog, version: 0 }],
+        [{ put: keys.catalog, value: types }],
+        Priority.Decision,
+      );
+    }
+  }
+
+  private async fetchList(): Promise<void> {
+    const at = this.clock.steady();
+    const machines: ListedMachine[] = [];
+    let after = '';
+    for (;;) {
+      const answer = await this.cloud.call('GET', listPath(after), undefined, CLOUD_MS);
+      const page = answer?.status === 200 ? parseMachineList(answer.body) : null;
+      if (!page) {
+        this.listing = false;
+        return;
+      }
+      machines.push(...page.machines);
+      const last = page.machines[page.machines.length - 1];
+      if (!page.more || !last) break;
+      after = last.name;
+    }
+    this.listing = false;
+    this.tell({ kind: 'listed', machines, at });
+  }
+
+  private takeList(listed: ListedMachine[], at: number, now: number): void {
+    if (!this.leading) return;
+    const names = new Set<string>();
+    for (const m of listed) {
+      names.add(m.name);
+      const seen = this.seenOf(m.name, now);
+      seen.firstListed ??= now;
+      seen.status = m.status;
+      // A machine that nobody remembers renting: a request that was carried out late, or one of the first.
+      if (!this.gone.has(m.name) && !this.ledger.entries.has(keys.machine(m.name))) this.adopt(m.name, m);
+    }
+    for (const { id } of this.records()) {
+      const seen = this.seenOf(id, now);
+      // Once listed a machine stays listed until it is gone, and no list is older than twice the lag.
+      const certain = seen.firstListed !== null && at - seen.firstListed > 2.5 * this.settings.listLagMs + 500;
+      if (!names.has(id) && certain) void this.forget(id);
+    }
+  }
+
+  /** Deletes the record of a machine that is gone, and with it the presumption of everything on it. */
+  private async forget(id: string): Promise<void> {
+    const entry = this.ledger.entries.get(keys.machine(id));
+    if (!entry || this.writing.has(id)) return;
+    this.writing.add(id);
+    const result = await this.ledger.txn(
+      [{ key: entry.key, version: entry.version }],
+      [{ remove: entry.key }],
+      Priority.Decision,
+    );
+    this.log.info({ machine: id, result: result.kind }, 'machine gone');
+    this.writing.delete(id);
+  }
+
+  private adopt(id: string, kind: { type: string; zone: string; spot: boolean }): void {
+    const part = this.neediest();
+    if (!part || this.gone.has(id)) return;
+    this.log.info({ machine: id, part }, 'machine taken in');
+    this.record([id], { part, phase: 'kept', type: kind.type, zone: kind.zone, spot: kind.spot });
+  }
+
+  /** The part with the fewest machines. */
+  private neediest(): string | null {
+    const counts = new Map(this.parts().map((p) => [p.id, 0]));
+    for (const m of this.records()) counts.set(m.record.part, (counts.get(m.record.part) ?? 0) + 1);
+    for (const id of this.writing) counts.set(id, 0);
+    const pending = [...this.pendingParts.values()];
+    for (const p of pending) counts.set(p, (counts.get(p) ?? 0) + 1);
+    const ids = this.parts().map((p) => p.id);
+    return ids.sort((a, b) => (counts.get(a) ?? 0) - (counts.get(b) ?? 0) || (a < b ? -1 : 1))[0] ?? null;
+  }
+
+  private readonly pendingParts = new Map<string, string>();
+
+  private record(ids: string[], record: MachineRecord): void {
+    const fresh = ids.filter((id) => !this.writing.has(id) && !this.ledger.entries.has(keys.machine(id)));
+    for (let i = 0; i < fresh.length; i += this.settings.store.txnOps) {
+      const batch = fresh.slice(i, i + this.settings.store.txnOps);
+      for (const id of batch) {
+        this.writing.add(id);
+        this.pendingParts.set(id, record.part);
+      }
+      const puts: Write[] = batch.map((id) => ({ put: keys.machine(id), value: record }));
+      const conditions = batch.map((id) => ({ key: keys.machine(id), version: 0 }));
+      void this.ledger.txn(conditions, puts, Priority.Decision).then(() => {
+        // What was not written is taken in from the list, or when the machine reports.
+        this.clock.after(500, () => {
+          for (const id of batch) {
+            this.writing.delete(id);
+            this.pendingParts.delete(id);
+          }
+        });
+      });
+    }
+  }
+
+  private scaleFleet(now: number): void {
+    const parts = this.parts();
+    if (parts.length === 0 || this.types.size === 0) return;
+    const loads = parts
+      .map((p) => this.loads.get(p.id))
+      .filter((l): l is { load: PartLoad; at: number } => l !== undefined && now - l.at < LOAD_FRESH_MS)
+      .map((l) => l.load);
+    const loadOf = new Map(loads.flatMap((l) => l.machines).map((m) => [m.machine, m]));
+    const machines: FleetMachine[] = this.records().map(({ id, record }) => {
+      const seen = this.seenOf(id, now);
+      return {
+        id,
+        part: record.part,
+        type: record.type,
+        zone: record.zone,
+        spot: record.spot,
+        returning: record.phase === 'returning',
+        ageMs: now - seen.firstKnown,
+        booting: !seen.reported && (loadOf.get(id)?.silentMs ?? -1) < 0,
+        failed: seen.status === 'failed',
+      };
+    });
+    // Rentals that are not answered or recorded yet count as machines on their way.
+    for (const [key, n] of this.rentsInFlight) {
+      const [part, type, zone, spot] = JSON.parse(key) as [string, string, string, boolean];
+      for (let i = 0; i < n; i++) {
+        const base = { id: '', part, type, zone, spot, returning: false, ageMs: 0 };
+        machines.push({ ...base, booting: true, failed: false });
+      }
+    }
+    const actions = scale({
+      types: this.types,
+      loads,
+      machines,
+      soldOut: (kind) => (this.soldOut.get(kindKey(kind)) ?? Number.NEGATIVE_INFINITY) > now,
+      leaseMs: this.settings.leaseMs,
+    });
+    const owners = new Map(parts.map((p) => [p.id, p.record.owner]));
+    const rents = new Map<string, { part: string; order: RentalOrder }>();
+    for (const action of actions) {
+      if (action.kind === 'rent') {
+        const key = JSON.stringify([action.part, kindKey(action.order)]);
+        const known = rents.get(key);
+        if (known) known.order.count++;
+        else rents.set(key, { part: action.part, order: { ...action.order } });
+      } else if (action.kind === 'move') {
+        const owner = owners.get(action.fromPart);
+        if (owner) this.sendTo(owner, { kind: 'move', machine: action.machine, toPart: action.toPart });
+      } else {
+        const owner = owners.get(action.part);
+        const { machine, why, force } = action;
+        if (owner) this.sendTo(owner, { kind: 'retire', machine, why, force });
+      }
+    }
+    for (const { part, order } of rents.values()) {
+      if (!this.pacer.take(now, 1)) break;
+      this.rent(part, { ...order, count: Math.min(50, order.count) });
+    }
+  }
+
+  private rent(part: string, order: RentalOrder): void {
+    const key = JSON.stringify([part, order.type, order.zone, order.spot]);
+    this.rentsInFlight.set(key, (this.rentsInFlight.get(key) ?? 0) + order.count);
+    // The leader's version is in no other leader's names, so no name is ever used twice.
+    const name = `${this.member.name}-${this.leaderVersion}-${++this.rentals}`;
+    void this.cloud.call('POST', '/rentals', rentalBody(name, order), CLOUD_MS).then((answer) => {
+      this.tell({ kind: 'rented', order, part, answer });
+    });
+  }
+
+  private takeRental(
+    { order, part, answer }: { order: RentalOrder; part: string; answer: HttpAnswer | null },
+    now: number,
+  ): void {
+    const key = JSON.stringify([part, order.type, order.zone, order.spot]);
+    const settle = (): void => {
+      const left = (this.rentsInFlight.get(key) ?? 0) - order.count;
+      if (left > 0) this.rentsInFlight.set(key, left);
+      else this.rentsInFlight.delete(key);
+    };
+    const machines = answer?.status === 200 ? parseRental(answer.body) : null;
+    this.log.info({ part, order, status: answer?.status ?? null, machines }, 'rental');
+    if (answer?.status === 503 || (machines && machines.length < order.count)) {
+      this.soldOut.set(kindKey(order), now + SOLD_OUT_MS);
+    }
+    if (machines && machines.length > 0) {
+      const { type, zone, spot } = order;
+      this.record(machines, { part, phase: 'kept', type, zone, spot });
+      for (const id of machines) this.seenOf(id, now);
+      // Until the records have come round they are still counted as on their way.
+      this.clock.after(400, settle);
+    } else settle();
+  }
+}
+
+function kindKey(kind: { type: string; zone: string; spot: boolean }): string {
+  return `${kind.type}/${kind.zone}/${kind.spot}`;
+}
--- /dev/null
+++ b/src/coordination/member.ts
@@ -0,0 +1,112 @@
+import { DRIFT, type Clock } from '../transport/clock';
+import { Actor } from '../transport/actor';
+import { type Log } from '../transport/log';
+import { Priority, type Ledger } from '../storage/ledger';
+import { keys, type MemberRecord } from '../protocol/records';
+
+/** How long a grant lasts without renewal: the time in which a dead controller is noticed. */
+export const GRANT_MS = 4000;
+const RENEW_MS = 800;
+/** Steady clocks drift, timers fire late: this much before its end a grant counts as ended. */
+const MARGIN_MS = 250;
+
+type Message =
+  | { kind: 'join' }
+  | { kind: 'joined'; grant: number; incarnation: number; sentAt: number }
+  | { kind: 'renew' }
+  | { kind: 'renewed'; grant: number; result: 'renewed' | 'ended' | 'failed'; sentAt: number };
+
+/** This controller's grant. Whoever acts asks `alive()` first, every time. */
+export class Member extends Actor<Message> {
+  private grant: number | null = null;
+  private aliveUntil = Number.NEGATIVE_INFINITY;
+  /** Version of our member record; 0: we have none. */
+  incarnation = 0;
+
+  constructor(
+    readonly name: string,
+    private readonly ledger: Ledger,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly onJoined: () => void,
+  ) {
+    super((error) => log.error({ error }, 'member failed'));
+  }
+
+  alive(): boolean {
+    return this.incarnation !== 0 && this.clock.steady() < this.aliveUntil;
+  }
+
+  get lease(): number {
+    return this.grant ?? 0;
+  }
+
+  protected receive(message: Message): void {
+    switch (message.kind) {
+      case 'join':
+        void this.join();
+        return;
+      case 'joined':
+        this.grant = message.grant;
+        this.incarnation = message.incarnation;
+        this.extend(message.sentAt);
+        this.log.info({ incarnation: this.incarnation }, 'joined');
+        this.onJoined();
+        this.later('renew', RENEW_MS);
+        return;
+      case 'renew': {
+        const grant = this.grant;
+        if (grant === null) return;
+        const sentAt = this.clock.steady();
+        void this.ledger
+          .touch(grant)
+          .then((result) => this.tell({ kind: 'renewed', grant, result, sentAt }));
+        return;
+      }
+      case 'renewed':
+        if (message.grant !== this.grant) return;
+        if (message.result === 'ended') {
+          this.log.info('grant ended, joining anew');
+          this.grant = null;
+          this.incarnation = 0;
+          this.aliveUntil = Number.NEGATIVE_INFINITY;
+          this.later('join', 100);
+          return;
+        }
+        if (message.result === 'renewed') this.extend(message.sentAt);
+        this.later('renew', message.result === 'renewed' ? RENEW_MS : 250);
+    }
+  }
+
+  /** Counted from when the touch was sent: the state service cannot have begun the new term earlier. */
+  private extend(sentAt: number): void {
+    this.aliveUntil = Math.max(this.aliveUntil, sentAt + GRANT_MS * (1 - 2 * DRIFT) - MARGIN_MS);
+  }
+
+  private later(kind: 'join' | 'renew', ms: number): void {
+    this.clock.after(ms, () => this.tell({ kind }));
+  }
+
+  private async join(): Promise<void> {
+    const key = keys.member(this.name);
+    const old = await this.ledger.read(key);
+    if (old.kind === 'failed') return this.later('join', 300);
+    if (old.kind === 'entry') {
+      // An earlier life of this controller is over: only one process runs here at a time.
+      const ended = old.entry.lease !== null && (await this.ledger.endGrant(old.entry.lease));
+      if (!ended) this.log.info('waiting for an earlier grant to end');
+      return this.later('join', ended ? 1 : 300);
+    }
+    const sentAt = this.clock.steady();
+    const grant = await this.ledger.openGrant(GRANT_MS);
+    if (grant === null) return this.later('join', 300);
+    const record: MemberRecord = { member: this.name };
+    const put = await this.ledger.txn(
+      [{ key, version: 0 }],
+      [{ put: key, value: record, lease: grant }],
+      Priority.Grant,
+    );
+    if (put.kind !== 'applied') return this.later('join', 200);
+    this.tell({ kind: 'joined', grant, incarnation: put.revision, sentAt });
+  }
+}
--- /dev/null
+++ b/src/coordination/placement.ts
@@ -0,0 +1,57 @@
+import { type MachineType } from '../protocol/cloud';
+import { type JobSpec } from '../protocol/jobs';
+
+export interface Free {
+  cpus: number;
+  accelerators: number;
+  memoryGb: number;
+}
+
+const EPSILON = 1e-9;
+
+/** How many tasks of this shape fit into what is free. */
+export function fits(free: Free, need: Free): number {
+  let n = Number.POSITIVE_INFINITY;
+  if (need.cpus > 0) n = Math.min(n, Math.floor(free.cpus / need.cpus + EPSILON));
+  if (need.accelerators > 0) n = Math.min(n, Math.floor(free.accelerators / need.accelerators + EPSILON));
+  if (need.memoryGb > 0) n = Math.min(n, Math.floor(free.memoryGb / need.memoryGb + EPSILON));
+  return Math.max(0, n);
+}
+
+/** Whether a job allows a kind of machine at all. */
+export function allows(
+  job: { types: string[] | null; zone: string | null; spot: boolean },
+  machine: { type: string; zone: string; spot: boolean },
+): boolean {
+  if (job.types && !job.types.includes(machine.type)) return false;
+  if (job.zone !== null && job.zone !== machine.zone) return false;
+  return job.spot || !machine.spot;
+}
+
+/** How many more tasks of a job a zone may take, given where its tasks are presumed to be now. */
+export function zoneRoom(spec: JobSpec, zone: string, placed: ReadonlyMap<string, number>): number {
+  if (spec.together) {
+    for (const [other, count] of placed) if (other !== zone && count > 0) return 0;
+  }
+  if (spec.apart) return Math.max(0, Math.ceil(spec.tasks / 2) - (placed.get(zone) ?? 0));
+  return Number.POSITIVE_INFINITY;
+}
+
+/** Why a job can never run, or null. */
+export function impossible(
+  spec: JobSpec,
+  catalog: readonly MachineType[],
+  limit: { cpus: number; accelerators: number },
+): string | null {
+  if (spec.cpus > limit.cpus || spec.accelerators > limit.accelerators) {
+    return `a task needs more than the limit of team ${spec.team}`;
+  }
+  const fitting = catalog.filter(
+    (t) =>
+      (!spec.types || spec.types.includes(t.name)) &&
+      (spec.zone === null || t.zones.includes(spec.zone)) &&
+      fits(t, spec) >= 1,
+  );
+  if (fitting.length === 0) return 'a task fits no allowed machine type';
+  return null;
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,35 @@
+import { readFileSync } from 'node:fs';
+import { Command } from 'commander';
+import { systemClock } from './transport/clock';
+import { openLog } from './transport/log';
+import { parseSettings, type Settings } from './protocol/settings';
+import { Controller } from './coordination/controller';
+
+const VERSION = '0.1.0';
+const BAD_SETTINGS = 2;
+
+function readSettings(path: string): Settings {
+  try {
+    return parseSettings(readFileSync(path, 'utf8'));
+  } catch (error) {
+    process.stderr.write(`heathbridge: ${path}: ${(error as Error).message}\n`);
+    process.exit(BAD_SETTINGS);
+  }
+}
+
+function serve(path: string): void {
+  const settings = readSettings(path);
+  const log = openLog(settings.member);
+  // What gets here is a defect; the process goes on, for its part would stand still without it.
+  process.on('uncaughtException', (error) => log.error({ error: error.stack }, 'uncaught'));
+  process.on('unhandledRejection', (error) => log.error({ error: String(error) }, 'unhandled'));
+  log.info({ version: VERSION }, 'starting');
+  new Controller(settings, systemClock, log).start();
+}
+
+new Command('heathbridge')
+  .description('A cluster scheduler for pipelines of jobs.')
+  .version(VERSION)
+  .requiredOption('--config <file>', "the platform's settings (JSON)")
+  .action((options: { config: string }) => serve(options.config))
+  .parse();
--- /dev/null
+++ b/src/protocol/cloud.ts
@@ -0,0 +1,109 @@
+import { z } from 'zod';
+
+export interface MachineType {
+  name: string;
+  cpus: number;
+  accelerators: number;
+  memoryGb: number;
+  cacheGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootS: number;
+  zones: string[];
+}
+
+const typeSchema = z.object({
+  label: z.string(),
+  cpus: z.number(),
+  accelerators: z.number().default(0),
+  memory_gb: z.number(),
+  local_gb: z.number().default(0),
+  fetch_gb_per_s: z.number().default(1),
+  rate: z.number(),
+  spot_price: z.number(),
+  ready_s: z.number(),
+  yards: z.array(z.string()),
+});
+
+export function parseCatalog(body: unknown): MachineType[] | null {
+  const read = z.object({ models: z.array(typeSchema) }).safeParse(body);
+  if (!read.success) return null;
+  return read.data.models.map((m) => ({
+    name: m.label,
+    cpus: m.cpus,
+    accelerators: m.accelerators,
+    memoryGb: m.memory_gb,
+    cacheGb: m.local_gb,
+    fetchGbPerS: m.fetch_gb_per_s,
+    price: m.rate,
+    spotPrice: m.spot_price,
+    bootS: m.ready_s,
+    zones: m.yards,
+  }));
+}
+
+/** A machine as the cloud lists it. */
+export interface ListedMachine {
+  name: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  status: 'booting' | 'running' | 'failed';
+  ageS: number;
+}
+
+const listSchema = z.object({
+  velodromes: z.array(
+    z.object({
+      ref: z.string(),
+      model: z.string(),
+      yard: z.string(),
+      loaners: z.boolean(),
+      status: z.enum(['booting', 'running', 'failed']),
+      age_s: z.number(),
+    }),
+  ),
+  truncated: z.boolean().nullish(),
+});
+
+export function parseMachineList(body: unknown): { machines: ListedMachine[]; more: boolean } | null {
+  const read = listSchema.safeParse(body);
+  if (!read.success) return null;
+  return {
+    machines: read.data.velodromes.map((m) => ({
+      name: m.ref,
+      type: m.model,
+      zone: m.yard,
+      spot: m.loaners,
+      status: m.status,
+      ageS: m.age_s,
+    })),
+    more: read.data.truncated ?? false,
+  };
+}
+
+export function listPath(after: string): string {
+  return `/rentals?limit=500${after ? `&from=${encodeURIComponent(after)}` : ''}`;
+}
+
+/** An order for machines of one kind. */
+export interface RentalOrder {
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export function rentalBody(request: string, order: RentalOrder): object {
+  return { hire_order: request, model: order.type, yard: order.zone, loaners: order.spot, how_many: order.count };
+}
+
+export function parseRental(body: unknown): string[] | null {
+  const read = z.object({ velodromes: z.array(z.string()) }).safeParse(body);
+  return read.success ? read.data.velodromes : null;
+}
+
+export function returnBody(machines: string[]): object {
+  return { velodromes: machines };
+}
--- /dev/null
+++ b/src/protocol/jobs.ts
@@ -0,0 +1,102 @@
+import { z } from 'zod';
+
+/** Urgencies from the most to the least pressing; the index is the rank. */
+export const URGENCIES = ['prod', 'urgent', 'normal', 'idle'] as const;
+
+/** A job as its user described it, in the project's own words. */
+export interface JobSpec {
+  ref: string;
+  workload: string;
+  team: string;
+  /** Index into URGENCIES. */
+  rank: number;
+  tasks: number;
+  cpus: number;
+  accelerators: number;
+  memoryGb: number;
+  image: string;
+  imageGb: number;
+  /** Allowed machine types; null: any. */
+  types: string[] | null;
+  zone: string | null;
+  together: boolean;
+  apart: boolean;
+  spot: boolean;
+  expectedS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+export const JOB_REF = /^job-[0-9]{1,18}$/;
+
+const amount = z.number().nonnegative();
+const name = z.string().min(1).max(200);
+const submission = z.object({
+  ref: z.string().regex(JOB_REF, 'must look like job-000412'),
+  workload: name,
+  crew: name,
+  shape: z.literal('sweep'),
+  urgency: z.enum(URGENCIES),
+  pieces: z.number().int().min(1).max(100_000),
+  cpus: amount,
+  accelerators: amount,
+  memory_gb: amount,
+  build: z.string().max(200),
+  image_gb: amount,
+  models: z.array(name).nullish(),
+  yard: name.nullish(),
+  together: z.boolean(),
+  apart: z.boolean(),
+  loaners: z.boolean(),
+  expected_s: amount,
+  snapshot_every_s: amount,
+  snapshot_s: amount,
+  due_s: amount.nullish(),
+});
+
+export type Submission = { ok: true; spec: JobSpec } | { ok: false; reason: string };
+
+/** Checks a submission field by field; the reason names the first bad one on one line. */
+export function parseSubmission(body: unknown): Submission {
+  if (typeof body !== 'object' || body === null || Array.isArray(body)) {
+    return { ok: false, reason: 'not a JSON object' };
+  }
+  const read = submission.safeParse(body);
+  if (!read.success) {
+    const issue = read.error.issues[0];
+    return { ok: false, reason: `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'invalid'}` };
+  }
+  const s = read.data;
+  return {
+    ok: true,
+    spec: {
+      ref: s.ref,
+      workload: s.workload,
+      team: s.crew,
+      rank: URGENCIES.indexOf(s.urgency),
+      tasks: s.pieces,
+      cpus: s.cpus,
+      accelerators: s.accelerators,
+      memoryGb: s.memory_gb,
+      image: s.build,
+      imageGb: s.image_gb,
+      types: s.models ?? null,
+      zone: s.yard ?? null,
+      together: s.together,
+      apart: s.apart,
+      spot: s.loaners,
+      expectedS: s.expected_s,
+      checkpointS: s.snapshot_every_s,
+      saveS: s.snapshot_s,
+      deadlineS: s.due_s ?? null,
+    },
+  };
+}
+
+export type JobStatus = 'queued' | 'running' | 'done' | 'cancelled';
+
+/** The answer to a user's question about a job. */
+export function jobAnswer(ref: string, status: JobStatus, done: number, running: number): object {
+  return { ref, status: status === 'cancelled' ? 'aborted' : status, done, running };
+}
--- /dev/null
+++ b/src/protocol/settings.ts
@@ -0,0 +1,105 @@
+import { z } from 'zod';
+
+const address = z.string().regex(/^[0-9.]+:[0-9]+$/, 'must be an IPv4 address and a port');
+const amount = z.number().nonnegative();
+
+const schema = z.object({
+  member: z.string().min(1),
+  site: z.string(),
+  serve_on: address,
+  cluster_listen: address,
+  peers: z.array(z.object({ member: z.string().min(1), site: z.string().optional(), addr: address })),
+  external: z.object({ cloud: address, state: address }),
+  facts: z.object({
+    teams: z
+      .array(
+        z.object({
+          name: z.string().min(1),
+          cpus: amount,
+          cpus_max: amount,
+          gpus: amount.default(0),
+          gpus_max: amount.default(0),
+        }),
+      )
+      .min(1),
+    objectives: z
+      .array(z.object({ kind: z.string(), class: z.string().optional(), within_s: z.number().optional() }))
+      .default([]),
+    workers: z.object({ report_s: z.number().positive(), lease_s: z.number().positive(), cancel_s: z.number() }),
+    state: z.object({
+      rps: z.number().positive(),
+      write_rps: z.number().positive(),
+      value_kb: z.number().positive(),
+      txn_ops: z.number().int().positive(),
+    }),
+    cloud: z.object({ rps: z.number().positive(), list_lag_s: amount }),
+  }),
+});
+
+export interface Team {
+  name: string;
+  guaranteed: Quantity;
+  limit: Quantity;
+}
+
+/** What the platform's teams share out. */
+export interface Quantity {
+  cpus: number;
+  accelerators: number;
+}
+
+export interface Settings {
+  member: string;
+  listen: string;
+  peerListen: string;
+  peers: { member: string; address: string }[];
+  cloud: string;
+  state: string;
+  teams: Team[];
+  reportMs: number;
+  leaseMs: number;
+  store: { requestRate: number; writeRate: number; valueBytes: number; txnOps: number };
+  cloudRate: number;
+  listLagMs: number;
+}
+
+export class SettingsError extends Error {}
+
+/** Reads the platform's settings; unknown fields are ignored, the first bad one is named. */
+export function parseSettings(text: string): Settings {
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch (error) {
+    throw new SettingsError(`not JSON: ${(error as Error).message}`);
+  }
+  const read = schema.safeParse(json);
+  if (!read.success) {
+    const issue = read.error.issues[0];
+    throw new SettingsError(`${issue?.path.join('.') || 'settings'}: ${issue?.message ?? 'invalid'}`);
+  }
+  const s = read.data;
+  return {
+    member: s.member,
+    listen: s.serve_on,
+    peerListen: s.cluster_listen,
+    peers: s.peers.map((p) => ({ member: p.member, address: p.addr })),
+    cloud: s.external.cloud,
+    state: s.external.state,
+    teams: s.facts.teams.map((t) => ({
+      name: t.name,
+      guaranteed: { cpus: t.cpus, accelerators: t.gpus },
+      limit: { cpus: t.cpus_max, accelerators: t.gpus_max },
+    })),
+    reportMs: s.facts.workers.report_s * 1000,
+    leaseMs: s.facts.workers.lease_s * 1000,
+    store: {
+      requestRate: s.facts.state.rps,
+      writeRate: s.facts.state.write_rps,
+      valueBytes: s.facts.state.value_kb * 1024,
+      txnOps: s.facts.state.txn_ops,
+    },
+    cloudRate: s.facts.cloud.rps,
+    listLagMs: s.facts.cloud.list_lag_s * 1000,
+  };
+}
--- /dev/null
+++ b/src/storage/ledger.ts
@@ -0,0 +1,313 @@
+import { Subject } from 'rxjs';
+import { type Clock } from '../transport/clock';
+import { type HttpAnswer } from '../transport/http-client';
+import { type Log } from '../transport/log';
+import { Pacer } from '../transport/pacer';
+import {
+  parseEntry,
+  parseFailed,
+  parseGrant,
+  parseRevision,
+  parseScan,
+  parseWatch,
+  paths,
+  txnBody,
+  type Change,
+  type Condition,
+  type Entry,
+  type Write,
+} from '../protocol/store';
+import { PREFIX } from '../protocol/records';
+
+export type TxnResult =
+  | { kind: 'applied'; revision: number }
+  | { kind: 'conflict'; failed: string[] }
+  /** Certainly not executed. */
+  | { kind: 'refused' }
+  /** No answer: it may have been executed, or may yet be. */
+  | { kind: 'unknown' };
+
+export type ReadResult = { kind: 'entry'; entry: Entry } | { kind: 'absent' } | { kind: 'failed' };
+
+/** Which requests go first when the state service's limits are near. */
+export enum Priority {
+  Grant,
+  Decision,
+  Read,
+  Progress,
+}
+
+export interface StoreTransport {
+  call(method: string, path: string, body: unknown, timeoutMs: number): Promise<HttpAnswer | null>;
+}
+
+interface Queued {
+  priority: Priority;
+  writes: number;
+  deadline: number;
+  run: () => void;
+  expire: () => void;
+}
+
+export interface LedgerOptions {
+  requestRate: number;
+  writeRate: number;
+  controllers: number;
+}
+
+const CALL_MS = 1500;
+const HOLD_MS = 10_000;
+/** Each answer of the watch costs a request: changes are gathered for this long between two. */
+const WATCH_PAUSE_MS = 60;
+
+/**
+ * All of this controller's dealings with the state service: within its limits, most urgent first. It also
+ * keeps a replica of every key, fed by one watch: a picture of the store at `revision`, never a mixture.
+ */
+export class Ledger {
+  readonly changes = new Subject<Change>();
+  /** Tells that the replica stands at a revision as a whole, after one change or many. */
+  readonly batches = new Subject<void>();
+  readonly entries = new Map<string, Entry>();
+  revision = 0;
+  synced = false;
+  private readonly requests: Pacer;
+  private readonly writes: Pacer;
+  private readonly queue: Queued[] = [];
+  private pumpTimer: (() => void) | null = null;
+  private lastOk = Number.NEGATIVE_INFINITY;
+  private lastRefused = Number.NEGATIVE_INFINITY;
+  readonly counters = { requests: 0, throttled: 0, refused: 0, unanswered: 0, writes: 0 };
+
+  constructor(
+    private readonly transport: StoreTransport,
+    private readonly watchTransport: StoreTransport,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    options: LedgerOptions,
+  ) {
+    // The limits are shared by all controllers without their speaking about it. Load is uneven, so each may
+    // use more than its even part; a 429 empties the bucket, which brings the sum back under the limit.
+    const share = Math.min(1, 1.8 / options.controllers);
+    this.requests = new Pacer(options.requestRate * share, options.requestRate * share);
+    this.writes = new Pacer(options.writeRate * share, options.writeRate * share);
+  }
+
+  /** True if the state service answered within the last `ms` and has not refused us since. */
+  answering(ms: number): boolean {
+    return this.clock.steady() - this.lastOk < ms && this.lastOk >= this.lastRefused;
+  }
+
+  async txn(conditions: Condition[], writes: Write[], priority: Priority, withinMs = 3000): Promise<TxnResult> {
+    const body = txnBody(conditions, writes);
+    const answer = await this.ask('POST', paths.txn, body, priority, withinMs, writes.length);
+    if (answer === 'expired') return { kind: 'refused' };
+    if (answer === null) return { kind: 'unknown' };
+    if (answer.status === 200) {
+      const revision = parseRevision(answer.body);
+      return revision === null ? { kind: 'unknown' } : { kind: 'applied', revision };
+    }
+    if (answer.status === 409) return { kind: 'conflict', failed: parseFailed(answer.body) ?? [] };
+    if (answer.status === 400) {
+      this.log.error({ answer: answer.body }, 'state service calls a transaction malformed');
+      return { kind: 'refused' };
+    }
+    return answer.status === 503 || answer.status === 429 ? { kind: 'refused' } : { kind: 'unknown' };
+  }
+
+  /** Reads a key as it is now, not as the replica remembers it. */
+  async read(key: string, withinMs = 1500): Promise<ReadResult> {
+    const answer = await this.ask('GET', paths.entry(key), undefined, Priority.Read, withinMs, 0);
+    if (answer === null || answer === 'expired') return { kind: 'failed' };
+    if (answer.status === 404) return { kind: 'absent' };
+    const entry = answer.status === 200 ? parseEntry(answer.body) : null;
+    return entry ? { kind: 'entry', entry } : { kind: 'failed' };
+  }
+
+  async openGrant(ttlMs: number): Promise<number | null> {
+    const answer = await this.ask('POST', paths.grants, { ttl_ms: ttlMs }, Priority.Grant, 2000, 0);
+    return answer && answer !== 'expired' && answer.status === 200 ? parseGrant(answer.body) : null;
+  }
+
+  async touch(grant: number): Promise<'renewed' | 'ended' | 'failed'> {
+    const answer = await this.ask('POST', paths.touch(grant), {}, Priority.Grant, 1000, 0);
+    if (answer === null || answer === 'expired') return 'failed';
+    if (answer.status === 200) return 'renewed';
+    return answer.status === 404 ? 'ended' : 'failed';
+  }
+
+  async endGrant(grant: number): Promise<boolean> {
+    const answer = await this.ask('DELETE', paths.grant(grant), undefined, Priority.Grant, 1000, 0);
+    return answer !== null && answer !== 'expired' && (answer.status === 200 || answer.status === 404);
+  }
+
+  /** Fills the replica and follows the changes for ever. */
+  async follow(): Promise<void> {
+    for (;;) {
+      if (!this.synced && !(await this.fill())) {
+        await this.pause(300);
+        continue;
+      }
+      const started = this.clock.steady();
+      const path = paths.watch(PREFIX, this.revision, HOLD_MS);
+      // Watches are counted as requests; they wait for their turn like the others.
+      await this.turn(Priority.Decision, 0, Number.POSITIVE_INFINITY);
+      const answer = await this.watchTransport.call('GET', path, undefined, HOLD_MS + 3000);
+      const watched = answer?.status === 200 ? parseWatch(answer.body) : null;
+      if (watched) {
+        this.lastOk = this.clock.steady();
+        for (const change of watched.changes) this.apply(change);
+        this.revision = Math.max(this.revision, watched.revision);
+        this.batches.next();
+        await this.pause(Math.max(1, WATCH_PAUSE_MS - (this.clock.steady() - started)));
+      } else {
+        if (answer?.status === 410) this.synced = false;
+        await this.pause(200);
+      }
+    }
+  }
+
+  /** Resolves once the replica holds everything up to `revision`. */
+  async caughtUp(revision: number, withinMs: number): Promise<boolean> {
+    const end = this.clock.steady() + withinMs;
+    while (this.revision < revision) {
+      if (this.clock.steady() > end) return false;
+      await this.pause(15);
+    }
+    return true;
+  }
+
+  private apply(change: Change): void {
+    const known = this.entries.get(change.key);
+    if (known && known.version >= change.version) return;
+    if ('deleted' in change) this.entries.delete(change.key);
+    else
+      this.entries.set(change.key, {
+        key: change.key,
+        value: change.value,
+        version: change.version,
+        lease: null,
+      });
+    this.changes.next(change);
+  }
+
+  /** Reads everything anew; differences to what was known are told as changes. */
+  private async fill(): Promise<boolean> {
+    const found = new Map<string, Entry>();
+    let after = '';
+    let revision: number | null = null;
+    for (;;) {
+      const path = paths.scan(PREFIX, after);
+      const answer = await this.ask('GET', path, undefined, Priority.Decision, 3000, 0);
+      const page = answer && answer !== 'expired' && answer.status === 200 ? parseScan(answer.body) : null;
+      if (!page) return false;
+      // Later pages may be newer than the first; watching from the first page's revision repeats what differs.
+      revision ??= page.revision;
+      for (const entry of page.entries) found.set(entry.key, entry);
+      const last = page.entries[page.entries.length - 1];
+      if (!page.more || !last) break;
+      after = last.key;
+    }
+    for (const key of [...this.entries.keys()]) {
+      if (!found.has(key)) this.apply({ key, deleted: true, version: Number.MAX_SAFE_INTEGER });
+    }
+    for (const entry of found.values()) this.apply(entry);
+    this.revision = Math.max(this.revision, revision);
+    this.synced = true;
+    this.batches.next();
+    return true;
+  }
+
+  private async ask(
+    method: string,
+    path: string,
+    body: unknown,
+    priority: Priority,
+    withinMs: number,
+    writes: number,
+  ): Promise<HttpAnswer | null | 'expired'> {
+    const deadline = this.clock.steady() + withinMs;
+    for (;;) {
+      if (!(await this.turn(priority, writes, deadline))) return 'expired';
+      this.counters.requests++;
+      this.counters.writes += writes;
+      const left = Math.max(50, Math.min(CALL_MS, deadline - this.clock.steady()));
+      const answer = await this.transport.call(method, path, body, left);
+      const now = this.clock.steady();
+      if (answer === null) {
+        this.counters.unanswered++;
+        return null;
+      }
+      if (answer.status === 429) {
+        this.counters.throttled++;
+        this.requests.drain(now);
+        if (writes > 0) this.writes.drain(now);
+        if (now + 100 >= deadline) return 'expired';
+        await this.pause(60);
+        continue;
+      }
+      if (answer.status === 503) {
+        this.counters.refused++;
+        this.lastRefused = now;
+      } else {
+        this.lastOk = now;
+      }
+      return answer;
+    }
+  }
+
+  /** Waits until a request of this priority may be sent; false if its time runs out before. */
+  private turn(priority: Priority, writes: number, deadline: number): Promise<boolean> {
+    return new Promise((resolve) => {
+      const entry: Queued = {
+        priority,
+        writes,
+        deadline,
+        run: () => resolve(true),
+        expire: () => resolve(false),
+      };
+      const at = this.queue.findIndex((q) => q.priority > priority);
+      if (at < 0) this.queue.push(entry);
+      else this.queue.splice(at, 0, entry);
+      this.pump();
+    });
+  }
+
+  private pump(): void {
+    const now = this.clock.steady();
+    for (let i = 0; i < this.queue.length; ) {
+      const entry = this.queue[i] as Queued;
+      if (now > entry.deadline) {
+        this.queue.splice(i, 1);
+        entry.expire();
+        continue;
+      }
+      if (this.admit(entry, now)) {
+        this.queue.splice(i, 1);
+        entry.run();
+        continue;
+      }
+      i++;
+    }
+    if (this.queue.length > 0 && this.pumpTimer === null) {
+      this.pumpTimer = this.clock.after(25, () => {
+        this.pumpTimer = null;
+        this.pump();
+      });
+    }
+  }
+
+  private admit(entry: Queued, now: number): boolean {
+    // Grants are never paced: a controller that loses its grant costs more than one request too many.
+    if (entry.priority === Priority.Grant) return this.requests.take(now, 1, -this.requests.burst);
+    const keep = entry.priority === Priority.Progress ? 0.5 : entry.priority === Priority.Read ? 0.2 : 0.1;
+    if (!this.requests.take(now, 1, this.requests.burst * keep)) return false;
+    if (entry.writes === 0) return true;
+    const spare = entry.priority === Priority.Progress ? this.writes.burst * 0.4 : 0;
+    return this.writes.take(now, entry.writes, spare);
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise((resolve) => this.clock.after(ms, resolve));
+  }
+}
