--- a/src/protocol/store.ts
+++ b/src/protocol/store.ts
@@ -18,7 +18,7 @@
 
 export type Write = { put: string; value: unknown; lease?: number } | { remove: string };
 
-const entrySchema = z.object({ path: z.string(), v: z.unknown(), stamp: z.number(), permit: z.number().nullish() });
+const entrySchema = z.object({ path: z.string(), v: z.unknown().optional(), stamp: z.number(), permit: z.number().nullish() });
 const revisionSchema = z.object({ ledger_rev: z.number() });
 const scanSchema = z.object({
   pairs: z.array(entrySchema),
@@ -31,7 +31,7 @@
     z.object({
       set: z.string().nullish(),
       delete: z.string().nullish(),
-      v: z.unknown(),
+      v: z.unknown().optional(),
       stamp: z.number(),
     }),
   ),
