--- a/src/main.ts
+++ b/src/main.ts
@@ -27,9 +27,11 @@
   new Controller(settings, systemClock, log).start();
 }
 
-new Command('heathbridge')
+const program = new Command('heathbridge')
   .description('A cluster scheduler for pipelines of jobs.')
   .version(VERSION)
   .requiredOption('--config <file>', "the platform's settings (JSON)")
-  .action((options: { config: string }) => serve(options.config))
-  .parse();
+  .action((options: { config: string }) => serve(options.config));
+
+// The build loads the program once without running it, to keep its compiled code.
+if (!process.argv.includes('--warm-up')) program.parse();
