--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -27,23 +27,37 @@
 
 export type FleetAction =
   | { kind: 'rent'; part: string; order: RentalOrder }
-  | { kind: 'move'; machine: string; fromPart: string; toPart: string }
+  | { kind: 'move'; machine: string; fromPart: string; toPart: string; drain: boolean }
   | { kind: 'retire'; machine: string; part: string; why: string; force: boolean };
 
-/** Within how many seconds the waiting work of an urgency is meant to begin; index as in URGENCIES. */
-const DRAIN_S = [10, 12, 30, 60] as const;
+/** Within how many seconds the waiting work of an urgency is meant to be done; index as in URGENCIES. */
+const DRAIN_S = [15, 20, 40, 75] as const;
 /** An idle machine is kept this long: work comes in waves, and a new one must boot and fetch first. */
 const KEEP_IDLE_MS = 20_000;
 const SILENT_MS = 30_000;
+/** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
 const ORDINARY_PATIENCE = 2;
+/** A part gives a machine away while another would need this many times as long for its work. */
+const LEND_RATIO = 1.6;
+const LEND_FROM_S = 8;
 
 interface Supply {
+  id: string;
   free: Free;
-  type: string;
+  type: MachineType;
   zone: string;
   spot: boolean;
 }
 
+/** A part as it will stand once the actions decided so far have been carried out. */
+interface PartView {
+  load: PartLoad;
+  demands: Demand[];
+  supply: Supply[];
+  /** CPU seconds waiting, by urgency rank and all together with what runs. */
+  waiting: number;
+}
+
 /** What to rent, move and return, given what waits and what there is. Pure. */
 export function scale(picture: FleetPicture): FleetAction[] {
   const actions: FleetAction[] = [];
@@ -52,14 +66,18 @@
   const idle: FleetMachine[] = [];
   for (const m of picture.machines) {
     if (m.returning) continue;
-    const why = broken(m, loadOf.get(m.id), picture);
+    const load = loadOf.get(m.id);
+    const why = broken(m, load, picture);
     if (why) actions.push({ kind: 'retire', machine: m.id, part: m.part, why, force: true });
-    else if (!m.booting && loadOf.get(m.id)?.tasks === 0) idle.push(m);
+    else if (!m.booting && load?.tasks === 0 && !load.leaving) idle.push(m);
   }
-  for (const part of picture.loads) serve(part, picture, loadOf, idle, actions);
+  const views = picture.loads.map((load) => view(load, picture, loadOf));
+  for (const part of views) serve(part, picture, idle, actions);
+  lend(views, picture, loadOf, actions);
+  const moved = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
   for (const m of idle) {
     const load = loadOf.get(m.id);
-    if (load && load.idleMs > KEEP_IDLE_MS) {
+    if (load && load.idleMs > KEEP_IDLE_MS && !moved.has(m.id)) {
       actions.push({ kind: 'retire', machine: m.id, part: m.part, why: 'idle', force: false });
     }
   }
@@ -75,61 +93,86 @@
   return null;
 }
 
-function serve(
-  part: PartLoad,
-  picture: FleetPicture,
-  loadOf: ReadonlyMap<string, MachineLoad>,
-  idle: FleetMachine[],
-  actions: FleetAction[],
-): void {
+function view(load: PartLoad, picture: FleetPicture, loadOf: ReadonlyMap<string, MachineLoad>): PartView {
   const supply: Supply[] = [];
-  let capacity = 0;
   for (const m of picture.machines) {
     const type = picture.types.get(m.type);
-    if (m.part !== part.part || m.returning || !type) continue;
-    capacity += type.cpus;
-    const load = loadOf.get(m.id);
+    const state = loadOf.get(m.id);
+    if (m.part !== load.part || m.returning || !type || state?.leaving) continue;
     const free = m.booting
-      ? { ...type }
-      : { cpus: load?.freeCpus ?? 0, accelerators: load?.freeAccelerators ?? 0, memoryGb: load?.freeMemoryGb ?? 0 };
-    supply.push({ free, type: m.type, zone: m.zone, spot: m.spot });
+      ? { cpus: type.cpus, accelerators: type.accelerators, memoryGb: type.memoryGb }
+      : {
+          cpus: state?.freeCpus ?? 0,
+          accelerators: state?.freeAccelerators ?? 0,
+          memoryGb: state?.freeMemoryGb ?? 0,
+        };
+    supply.push({ id: m.id, free, type, zone: m.zone, spot: m.spot });
   }
-  let backlog = 0;
-  for (const demand of [...part.demands].sort((a, b) => a.rank - b.rank)) {
+  const demands = load.demands.map((d) => ({ ...d })).sort((a, b) => a.rank - b.rank);
+  const waiting = demands.reduce((sum, d) => sum + workOf(d, d.tasks), 0);
+  return { load, demands, supply, waiting };
+}
+
+function workOf(demand: Demand, tasks: number): number {
+  return tasks * demand.cpus * Math.max(demand.seconds, 5);
+}
+
+/** Whether a machine of this kind can take a task of this demand at all. */
+function suits(demand: Demand, s: { type: MachineType; zone: string; spot: boolean }): boolean {
+  return allows(demand, { type: s.type.name, zone: s.zone, spot: s.spot }) && fits(s.type, demand) > 0;
+}
+
+function serve(part: PartView, picture: FleetPicture, idle: FleetMachine[], actions: FleetAction[]): void {
+  let ahead = part.load.workLeft;
+  for (const demand of part.demands) {
     let tasks = demand.tasks;
-    for (const s of supply) if (allows(demand, s)) tasks -= fill(s.free, demand, tasks);
-    backlog += tasks * demand.cpus * Math.max(demand.seconds, 5);
+    for (const s of part.supply) if (suits(demand, s)) tasks -= fill(s.free, demand, tasks);
+    ahead += workOf(demand, demand.tasks);
     if (tasks <= 0) continue;
     const drainS = DRAIN_S[demand.rank] ?? 60;
-    // What the running machines will have worked off in time needs no new ones.
-    let missing = Math.min(tasks * demand.cpus, backlog / drainS - capacity);
+    const size = Math.max(demand.cpus, 0.1);
+    // What the machines that suit it will have worked off in time needs no new ones.
+    const able = part.supply.reduce((sum, s) => sum + (suits(demand, s) ? s.type.cpus : 0), 0);
+    let missing = Math.min(tasks * size, ahead / drainS - able);
+    const patient = able > 0 && demand.spot && ahead / drainS <= ORDINARY_PATIENCE * able;
     for (const m of [...idle]) {
       const type = picture.types.get(m.type);
       if (missing <= 0 || tasks <= 0) break;
-      if (!type || m.part === part.part || !allows(demand, m) || fits(type, demand) === 0) continue;
+      if (!type || m.part === part.load.part || !suits(demand, { type, zone: m.zone, spot: m.spot })) continue;
       idle.splice(idle.indexOf(m), 1);
-      actions.push({ kind: 'move', machine: m.id, fromPart: m.part, toPart: part.part });
-      const taken = fill({ ...type }, demand, tasks);
+      actions.push({ kind: 'move', machine: m.id, fromPart: m.part, toPart: part.load.part, drain: false });
+      const taken = add(part, m.id, type, m.zone, m.spot, demand, tasks);
       tasks -= taken;
-      missing -= taken * demand.cpus;
-      capacity += type.cpus;
+      missing -= taken * size;
     }
-    const patience = backlog / drainS > ORDINARY_PATIENCE * Math.max(1, capacity);
     for (let tries = 0; missing > 0 && tasks > 0 && tries < 20; tries++) {
-      const order = cheapest(demand, missing, tasks, picture, patience, actions);
-      if (!order) break;
-      const type = picture.types.get(order.type) as MachineType;
-      const free = { ...type };
-      const taken = fill(free, demand, tasks);
+      const order = cheapest(demand, missing, tasks, picture, !patient, actions);
+      const type = order && picture.types.get(order.type);
+      if (!order || !type) break;
+      const taken = add(part, '', type, order.zone, order.spot, demand, tasks);
       tasks -= taken;
-      missing -= taken * demand.cpus;
-      capacity += type.cpus;
-      supply.push({ free, ...order });
-      actions.push({ kind: 'rent', part: part.part, order });
+      missing -= taken * size;
+      actions.push({ kind: 'rent', part: part.load.part, order });
     }
   }
 }
 
+/** Counts a machine that is on its way to the part; returns how many of the demand's tasks it takes. */
+function add(
+  part: PartView,
+  id: string,
+  type: MachineType,
+  zone: string,
+  spot: boolean,
+  demand: Demand,
+  tasks: number,
+): number {
+  const free = { cpus: type.cpus, accelerators: type.accelerators, memoryGb: type.memoryGb };
+  const taken = fill(free, demand, tasks);
+  part.supply.push({ id, free, type, zone, spot });
+  return taken;
+}
+
 function fill(free: Free, demand: Demand, tasks: number): number {
   const n = Math.min(tasks, fits(free, demand));
   free.cpus -= n * demand.cpus;
@@ -138,6 +181,43 @@
   return n;
 }
 
+/** Seconds in which a part would have done all its work with the machines it has or is getting. */
+function horizon(part: PartView): number {
+  const cpus = part.supply.reduce((sum, s) => sum + s.type.cpus, 0);
+  return (part.load.workLeft + part.waiting) / Math.max(1, cpus);
+}
+
+/** Lets the part that would be done first empty a machine for the one that would be done last. */
+function lend(
+  views: readonly PartView[],
+  picture: FleetPicture,
+  loadOf: ReadonlyMap<string, MachineLoad>,
+  actions: FleetAction[],
+): void {
+  const byHorizon = [...views].sort((a, b) => horizon(a) - horizon(b));
+  const donor = byHorizon[0];
+  const taker = byHorizon[byHorizon.length - 1];
+  if (!donor || !taker || donor === taker) return;
+  const [quick, slow] = [horizon(donor), horizon(taker)];
+  // One at a time: the next round sees what this one changed.
+  const pending = picture.machines.some((m) => loadOf.get(m.id)?.leaving);
+  if (pending || taker.waiting === 0 || slow < LEND_FROM_S || slow < LEND_RATIO * quick) return;
+  const total = (v: PartView): number => v.supply.reduce((sum, s) => sum + s.type.cpus, 0);
+  const work = (v: PartView): number => v.load.workLeft + v.waiting;
+  let best: Supply | null = null;
+  for (const s of donor.supply) {
+    const load = loadOf.get(s.id);
+    if (!load || load.noticed || load.silentMs < 0 || !taker.demands.some((d) => suits(d, s))) continue;
+    // It must not turn the two round.
+    if (work(donor) / Math.max(1, total(donor) - s.type.cpus) > work(taker) / (total(taker) + s.type.cpus)) continue;
+    if (!best || s.free.cpus / s.type.cpus > best.free.cpus / best.type.cpus) best = s;
+  }
+  if (!best) return;
+  const { id } = best;
+  if (actions.some((a) => a.kind === 'move' && a.machine === id)) return;
+  actions.push({ kind: 'move', machine: id, fromPart: donor.load.part, toPart: taker.load.part, drain: true });
+}
+
 /** The kind of machine that costs least for what is missing; spread over zones where the price is the same. */
 function cheapest(
   demand: Demand,
@@ -152,7 +232,8 @@
   for (const type of picture.types.values()) {
     const places = Math.min(fits(type, demand), tasks);
     if (places === 0) continue;
-    const useful = Math.min(places * demand.cpus, Math.max(missing, demand.cpus));
+    const size = Math.max(demand.cpus, 0.1);
+    const useful = Math.min(places * size, Math.max(missing, size));
     for (const zone of type.zones) {
       for (const spot of [true, false]) {
         const order = { type: type.name, zone, spot, count: 1 };
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -48,6 +48,7 @@
 const SOLD_OUT_MS = 12_000;
 const LOAD_FRESH_MS = 6000;
 const CLOUD_MS = 4000;
+const FLEET_LOG_MS = 10_000;
 /** A new leader waits this long for the others before it first shares out the parts. */
 const GATHER_MS = 1500;
 
@@ -83,6 +84,7 @@
   private rentals = 0;
   private listedAt = Number.NEGATIVE_INFINITY;
   private listing = false;
+  private toldFleetAt = Number.NEGATIVE_INFINITY;
   private catalogAt = Number.NEGATIVE_INFINITY;
   private readonly pacer: Pacer;
   types: ReadonlyMap<string, MachineType> = new Map();
@@ -462,6 +464,7 @@
       soldOut: (kind) => (this.soldOut.get(kindKey(kind)) ?? Number.NEGATIVE_INFINITY) > now,
       leaseMs: this.settings.leaseMs,
     });
+    this.tellFleet(loads, machines, now);
     const owners = new Map(parts.map((p) => [p.id, p.record.owner]));
     const rents = new Map<string, { part: string; order: RentalOrder }>();
     for (const action of actions) {
@@ -472,7 +475,8 @@
         else rents.set(key, { part: action.part, order: { ...action.order } });
       } else if (action.kind === 'move') {
         const owner = owners.get(action.fromPart);
-        if (owner) this.sendTo(owner, { kind: 'move', machine: action.machine, toPart: action.toPart });
+        const { machine, toPart, drain } = action;
+        if (owner) this.sendTo(owner, { kind: 'move', machine, toPart, drain });
       } else {
         const owner = owners.get(action.part);
         const { machine, why, force } = action;
@@ -485,6 +489,21 @@
     }
   }
 
+  /** The fleet at a glance, for the log. */
+  private tellFleet(loads: readonly PartLoad[], machines: readonly FleetMachine[], now: number): void {
+    if (now - this.toldFleetAt < FLEET_LOG_MS) return;
+    this.toldFleetAt = now;
+    const parts = loads.map((load) => {
+      const here = machines.filter((m) => m.part === load.part && !m.returning);
+      const cpus = here.reduce((sum, m) => sum + (this.types.get(m.type)?.cpus ?? 0), 0);
+      const free = load.machines.reduce((sum, m) => sum + m.freeCpus, 0);
+      const waiting = load.demands.map((d) => `${d.tasks}x${d.cpus}@${d.rank}`).join(' ');
+      const booting = here.filter((m) => m.booting).length;
+      return { part: load.part, machines: here.length, booting, cpus, free, workLeft: Math.round(load.workLeft), waiting };
+    });
+    this.log.info({ parts }, 'fleet');
+  }
+
   private rent(part: string, order: RentalOrder): void {
     const key = JSON.stringify([part, order.type, order.zone, order.spot]);
     this.rentsInFlight.set(key, (this.rentsInFlight.get(key) ?? 0) + order.count);
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -54,6 +54,8 @@
   idleSince: number;
   /** Failures in a row, without a success between them. */
   failures = 0;
+  /** The part that gets the machine once it is empty. */
+  leavingTo: string | null = null;
   /** The machine is being moved or returned: nothing new is planned on it. */
   locked = false;
   private leaseFrom: number;
--- a/src/coordination/part-actor.ts
+++ b/src/coordination/part-actor.ts
@@ -12,7 +12,7 @@
   | { kind: 'machine'; id: string; record: MachineRecord | null; version: number }
   | { kind: 'pipeline'; record: PipelineRecord; version: number }
   | { kind: 'tick' }
-  | { kind: 'move'; machine: string; toPart: string }
+  | { kind: 'move'; machine: string; toPart: string; drain: boolean }
   | { kind: 'retire'; machine: string; why: string; force: boolean }
   | { kind: 'handover'; to: string; incarnation: number }
   | { kind: 'written'; write: JobWrite; result: TxnResult }
@@ -50,6 +50,7 @@
     switch (message.kind) {
       case 'report':
         message.reply(this.active ? this.core.report(message.report, now) : null);
+        if (this.active) this.lendEmptied();
         this.write(now);
         return;
       case 'machine':
@@ -63,10 +64,13 @@
       case 'tick':
         if (!this.active) return;
         this.core.tick(now);
+        this.lendEmptied();
         this.write(now);
         return;
       case 'move':
-        if (this.active) this.relend(message.machine, (r) => ({ ...r, part: message.toPart }), false);
+        if (!this.active) return;
+        if (message.drain) this.core.drainTo(message.machine, message.toPart);
+        else this.relend(message.machine, (r) => ({ ...r, part: message.toPart }), false);
         return;
       case 'retire':
         if (this.active) {
@@ -85,6 +89,10 @@
     }
   }
 
+  private lendEmptied(): void {
+    for (const { id, toPart } of this.core.emptied()) this.relend(id, (r) => ({ ...r, part: toPart }), false);
+  }
+
   private write(now: number): void {
     if (!this.active) return;
     const writes = this.core.writes(now, PROGRESS_MS);
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -138,6 +138,23 @@
     if (machine) machine.locked = machine.record.phase === 'returning';
   }
 
+  /** Empties a machine for another part: nothing new is put on it. */
+  drainTo(id: string, part: string): void {
+    const machine = this.machines.get(id);
+    if (!machine || machine.locked) return;
+    machine.leavingTo = part;
+    for (const task of machine.unplan()) this.giveBack(task);
+  }
+
+  /** Machines that were emptied for another part. */
+  emptied(): { id: string; toPart: string }[] {
+    const found = [];
+    for (const m of this.machines.values()) {
+      if (m.leavingTo !== null && m.tasks.size === 0 && !m.locked) found.push({ id: m.id, toPart: m.leavingTo });
+    }
+    return found;
+  }
+
   tokenOf(machine: MachineState): number {
     return Math.max(this.version, machine.version);
   }
@@ -444,6 +461,7 @@
   private unfit(machine: MachineState, now: number): boolean {
     return (
       machine.locked ||
+      machine.leavingTo !== null ||
       machine.noticeUntil !== null ||
       machine.failures >= FAULTY_AFTER ||
       machine.lastReport === null ||
@@ -601,9 +619,19 @@
         });
       }
     }
+    let workLeft = 0;
+    for (const machine of this.machines.values()) {
+      for (const task of machine.tasks.values()) {
+        const spec = this.jobs.get(task.ref)?.spec;
+        if (!spec) continue;
+        const ran = task.runningSince === null ? 0 : (now - task.runningSince) / 1000;
+        workLeft += spec.cpus * Math.max(spec.expectedS - ran, spec.expectedS * 0.2);
+      }
+    }
     return {
       part: this.id,
       version: this.version,
+      workLeft,
       demands: [...demands.values()],
       machines: [...this.machines.values()].map((m) => {
         const free = this.free(m) ?? { cpus: 0, accelerators: 0, memoryGb: 0 };
@@ -617,6 +645,7 @@
           silentMs: m.silentMs(now),
           faulty: m.failures >= FAULTY_AFTER,
           noticed: m.noticeUntil !== null,
+          leaving: m.leavingTo !== null,
         };
       }),
     };
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -31,6 +31,8 @@
   silentMs: number;
   faulty: boolean;
   noticed: boolean;
+  /** Being emptied, to be lent to another part. */
+  leaving: boolean;
 }
 
 export interface PartLoad {
@@ -38,12 +40,15 @@
   version: number;
   demands: Demand[];
   machines: MachineLoad[];
+  /** CPU seconds that the tasks now out are expected to take still. */
+  workLeft: number;
 }
 
 export type PeerMessage =
   | { kind: 'status'; member: string; storeOk: boolean; incarnation: number; parts: PartLoad[] }
   | { kind: 'pong'; member: string; storeOk: boolean }
-  | { kind: 'move'; machine: string; toPart: string }
+  /** `drain`: the machine may be in use; nothing new is to be put on it, and it moves once it is empty. */
+  | { kind: 'move'; machine: string; toPart: string; drain: boolean }
   | { kind: 'retire'; machine: string; why: string; force: boolean }
   | { kind: 'handover'; part: string; to: string };
 
@@ -67,6 +72,7 @@
               fields: [
                 { name: 'part', type: 'string' },
                 { name: 'version', type: 'long' },
+                { name: 'workLeft', type: 'double' },
                 {
                   name: 'demands',
                   type: {
@@ -107,6 +113,7 @@
                         { name: 'silentMs', type: 'double' },
                         { name: 'faulty', type: 'boolean' },
                         { name: 'noticed', type: 'boolean' },
+                        { name: 'leaving', type: 'boolean' },
                       ],
                     },
                   },
@@ -131,6 +138,7 @@
       fields: [
         { name: 'machine', type: 'string' },
         { name: 'toPart', type: 'string' },
+        { name: 'drain', type: 'boolean' },
       ],
     },
     {
