--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -209,7 +209,7 @@
     const least = (): string | undefined => [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0];
     try {
       if (parts.length === 0) {
-        const split = splitTeams(this.settings.teams, peers);
+        const split = splitTeams(this.settings.teams, 1);
         for (const [i, teams] of split.entries()) {
           const owner = least();
           if (owner) await this.give(`p${i}`, teams, owner, members, 0, null);
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -62,6 +62,7 @@
 const FAULTY_AFTER = 3;
 /** A job that failed on this many machines and never succeeded is taken to be at fault itself. */
 const JOB_AT_FAULT = 3;
+const STEP_BACK = 4;
 const ATTEMPTS_PER_INCARNATION = 1_000_000;
 
 /**
@@ -499,8 +500,14 @@
 
   private sorted(): Job[] {
     if (this.orderStale) {
+      let cpus = 1;
+      for (const m of this.machines.values()) cpus += this.types().get(m.record.type)?.cpus ?? 0;
+      // Arrival order, but a job steps back by a few times what it would take all our machines: one large job
+      // ahead of twenty small ones makes twenty users wait for one. The step is bounded, so none starves.
+      const turn = (job: Job): number =>
+        job.acceptedAt + (STEP_BACK * 1000 * job.spec.tasks * job.spec.cpus * job.spec.expectedS) / cpus;
       this.order = [...this.jobs.values()].sort(
-        (a, b) => a.spec.rank - b.spec.rank || a.acceptedAt - b.acceptedAt || (a.ref < b.ref ? -1 : 1),
+        (a, b) => a.spec.rank - b.spec.rank || turn(a) - turn(b) || (a.ref < b.ref ? -1 : 1),
       );
       this.orderStale = false;
     }
