Peers promise not to take over while the store is down for all

Cause: in a state outage longer than a worker's lease every controller stopped answering and all tasks were lost.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -23,15 +23,19 @@
 import { PartCore } from './part';
 import { PartActor } from './part-actor';
 import { Runs } from './runs';
+import { Truce } from './truce';
 
 const TICK_MS = 250;
 const STATUS_MS = 700;
+/** A store that has not answered for this long counts as out of reach. */
+const STORE_SILENT_MS = 1500;
 
 /** One controller: the actors and what joins them. */
 export class Controller {
   private readonly ledger: Ledger;
   private readonly member: Member;
   private readonly leader: Leader;
+  private readonly truce: Truce;
   private readonly runs: Runs;
   private readonly parts = new Map<string, PartActor>();
   private readonly peers = new Map<string, PeerLink>();
@@ -50,9 +54,13 @@
       writeRate: settings.store.writeRate,
       controllers: settings.peers.length + 1,
     });
-    this.member = new Member(settings.member, this.ledger, clock, log, () => this.reconcile());
+    this.truce = new Truce(
+      settings.peers.map((p) => p.member),
+      clock.steady(),
+    );
+    this.member = new Member(settings.member, this.ledger, clock, log, this.truce, () => this.reconcile());
     const cloud = new HttpClient(settings.cloud, 6);
-    this.leader = new Leader(settings, this.member, this.ledger, cloud, clock, log, (to, message) =>
+    this.leader = new Leader(settings, this.member, this.ledger, cloud, clock, log, this.truce, (to, message) =>
       this.sendTo(to, message),
     );
     const teams = new Map(settings.teams.map((t) => [t.name, t]));
@@ -219,7 +227,11 @@
       return;
     }
     if (message.kind === 'status') {
-      answer(encodePeer({ kind: 'pong', member: this.settings.member, storeOk: this.ledger.answering(1500) }));
+      const { member, seq, incarnation } = message;
+      const storeOk = this.ledger.answering(STORE_SILENT_MS);
+      const seen = this.ledger.entries.get(keys.member(member))?.version === incarnation;
+      const promised = this.truce.promise(member, seen, storeOk, this.clock.steady());
+      answer(encodePeer({ kind: 'pong', member: this.settings.member, seq, storeOk, promised }));
     }
     this.take(message);
   }
@@ -232,6 +244,7 @@
         for (const load of message.parts) this.leader.tell({ kind: 'load', load, at: now });
         return;
       case 'pong':
+        this.truce.answered(message.member, message.seq, message.promised);
         this.peerStoreOk.set(message.member, { ok: message.storeOk, at: now });
         return;
       case 'handover': {
@@ -258,7 +271,8 @@
     const status = {
       kind: 'status' as const,
       member: this.settings.member,
-      storeOk: this.ledger.answering(1500),
+      seq: this.truce.ask(now),
+      storeOk: this.ledger.answering(STORE_SILENT_MS),
       incarnation: this.member.incarnation,
     };
     if (leader === this.settings.member) this.take({ ...status, parts });
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -22,6 +22,7 @@
 import { type Write } from '../protocol/store';
 import { scale, type FleetMachine } from './autoscale';
 import { type Member } from './member';
+import { type Truce } from './truce';
 
 type Message =
   | { kind: 'tick' }
@@ -96,6 +97,7 @@
     private readonly cloud: CloudTransport,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly truce: Truce,
     private readonly sendTo: (member: string, message: PeerMessage) => void,
   ) {
     super((error) => log.error({ error }, 'leader failed'));
@@ -128,7 +130,8 @@
         if (!this.leading) return;
         void this.assign(now);
         this.watchCloud(now);
-        this.scaleFleet(now);
+        // What is rented must be recorded, or it would be rented again and again.
+        if (this.ledger.answering(2000)) this.scaleFleet(now);
         return;
       case 'load': {
         this.loads.set(message.load.part, { load: message.load, at: message.at });
@@ -224,6 +227,7 @@
         const next = members.has(owner) ? owner : least();
         if (!next) continue;
         const dead = members.has(owner) ? null : owner;
+        if (dead && !this.truce.mayTakeFrom(dead, now)) continue;
         if (await this.give(part.id, part.record.teams, next, members, part.version, dead)) {
           held.set(next, (held.get(next) ?? 0) + 1);
         }
--- a/src/coordination/member.ts
+++ b/src/coordination/member.ts
@@ -3,6 +3,7 @@
 import { type Log } from '../transport/log';
 import { Priority, type Ledger } from '../storage/ledger';
 import { keys, type MemberRecord } from '../protocol/records';
+import { type Truce } from './truce';
 
 /** How long a grant lasts without renewal: the time in which a dead controller is noticed. */
 export const GRANT_MS = 4000;
@@ -28,13 +29,15 @@
     private readonly ledger: Ledger,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly truce: Truce,
     private readonly onJoined: () => void,
   ) {
     super((error) => log.error({ error }, 'member failed'));
   }
 
   alive(): boolean {
-    return this.incarnation !== 0 && this.clock.steady() < this.aliveUntil;
+    const now = this.clock.steady();
+    return this.incarnation !== 0 && (now < this.aliveUntil || this.truce.holds(now));
   }
 
   get lease(): number {
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -45,8 +45,9 @@
 }
 
 export type PeerMessage =
-  | { kind: 'status'; member: string; storeOk: boolean; incarnation: number; parts: PartLoad[] }
-  | { kind: 'pong'; member: string; storeOk: boolean }
+  | { kind: 'status'; member: string; seq: number; storeOk: boolean; incarnation: number; parts: PartLoad[] }
+  /** Answers status `seq`; `promised`: not to take anything of the asker's over for PROMISE_MS from now. */
+  | { kind: 'pong'; member: string; seq: number; storeOk: boolean; promised: boolean }
   /** `drain`: the machine may be in use; nothing new is to be put on it, and it moves once it is empty. */
   | { kind: 'move'; machine: string; toPart: string; drain: boolean }
   | { kind: 'retire'; machine: string; why: string; force: boolean }
@@ -60,6 +61,7 @@
       type: 'record',
       fields: [
         { name: 'member', type: 'string' },
+        { name: 'seq', type: 'long' },
         { name: 'storeOk', type: 'boolean' },
         { name: 'incarnation', type: 'long' },
         {
@@ -129,7 +131,9 @@
       type: 'record',
       fields: [
         { name: 'member', type: 'string' },
+        { name: 'seq', type: 'long' },
         { name: 'storeOk', type: 'boolean' },
+        { name: 'promised', type: 'boolean' },
       ],
     },
     {
