--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -38,7 +38,7 @@
 /** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
 const ORDINARY_PATIENCE = 2;
 /** A part gives a machine away while another would need this many times as long for its work. */
-const LEND_RATIO = 1.6;
+const LEND_RATIO = 1.3;
 const LEND_FROM_S = 8;
 
 interface Supply {
@@ -54,8 +54,6 @@
   load: PartLoad;
   demands: Demand[];
   supply: Supply[];
-  /** CPU seconds waiting, by urgency rank and all together with what runs. */
-  waiting: number;
 }
 
 /** What to rent, move and return, given what waits and what there is. Pure. */
@@ -109,8 +107,7 @@
     supply.push({ id: m.id, free, type, zone: m.zone, spot: m.spot });
   }
   const demands = load.demands.map((d) => ({ ...d })).sort((a, b) => a.rank - b.rank);
-  const waiting = demands.reduce((sum, d) => sum + workOf(d, d.tasks), 0);
-  return { load, demands, supply, waiting };
+  return { load, demands, supply };
 }
 
 function workOf(demand: Demand, tasks: number): number {
@@ -181,41 +178,48 @@
   return n;
 }
 
-/** Seconds in which a part would have done all its work with the machines it has or is getting. */
-function horizon(part: PartView): number {
-  const cpus = part.supply.reduce((sum, s) => sum + s.type.cpus, 0);
-  return (part.load.workLeft + part.waiting) / Math.max(1, cpus);
+function cpusOf(part: PartView): number {
+  return part.supply.reduce((sum, s) => sum + s.type.cpus, 0);
 }
 
-/** Lets the part that would be done first empty a machine for the one that would be done last. */
+/** Seconds in which a part would have done all its work with these CPUs. */
+function horizon(part: PartView, cpus: number): number {
+  return (part.load.workLeft + part.load.backlog) / Math.max(1, cpus);
+}
+
+/** Lets the part that would be done first empty machines for the one that would be done last. */
 function lend(
   views: readonly PartView[],
   picture: FleetPicture,
   loadOf: ReadonlyMap<string, MachineLoad>,
   actions: FleetAction[],
 ): void {
-  const byHorizon = [...views].sort((a, b) => horizon(a) - horizon(b));
+  const byHorizon = [...views].sort((a, b) => horizon(a, cpusOf(a)) - horizon(b, cpusOf(b)));
   const donor = byHorizon[0];
   const taker = byHorizon[byHorizon.length - 1];
-  if (!donor || !taker || donor === taker) return;
-  const [quick, slow] = [horizon(donor), horizon(taker)];
-  // One at a time: the next round sees what this one changed.
-  const pending = picture.machines.some((m) => loadOf.get(m.id)?.leaving);
-  if (pending || taker.waiting === 0 || slow < LEND_FROM_S || slow < LEND_RATIO * quick) return;
-  const total = (v: PartView): number => v.supply.reduce((sum, s) => sum + s.type.cpus, 0);
-  const work = (v: PartView): number => v.load.workLeft + v.waiting;
-  let best: Supply | null = null;
-  for (const s of donor.supply) {
-    const load = loadOf.get(s.id);
-    if (!load || load.noticed || load.silentMs < 0 || !taker.demands.some((d) => suits(d, s))) continue;
+  if (!donor || !taker || donor === taker || taker.demands.length === 0) return;
+  // What is being emptied already counts for the one that gets it.
+  let leaving = 0;
+  for (const m of picture.machines) {
+    if (loadOf.get(m.id)?.leaving) leaving += picture.types.get(m.type)?.cpus ?? 0;
+  }
+  let [has, gets] = [cpusOf(donor), cpusOf(taker) + leaving];
+  const taken = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
+  // Emptiest first: what is free or still booting moves at once.
+  const offers = donor.supply
+    .filter((s) => !taken.has(s.id) && loadOf.has(s.id) && taker.demands.some((d) => suits(d, s)))
+    .filter((s) => !loadOf.get(s.id)?.noticed)
+    .sort((a, b) => b.free.cpus / b.type.cpus - a.free.cpus / a.type.cpus);
+  for (const s of offers) {
+    const slow = horizon(taker, gets);
+    if (slow < LEND_FROM_S || slow < LEND_RATIO * horizon(donor, has)) return;
     // It must not turn the two round.
-    if (work(donor) / Math.max(1, total(donor) - s.type.cpus) > work(taker) / (total(taker) + s.type.cpus)) continue;
-    if (!best || s.free.cpus / s.type.cpus > best.free.cpus / best.type.cpus) best = s;
+    if (horizon(donor, has - s.type.cpus) > horizon(taker, gets + s.type.cpus)) continue;
+    has -= s.type.cpus;
+    gets += s.type.cpus;
+    const [fromPart, toPart] = [donor.load.part, taker.load.part];
+    actions.push({ kind: 'move', machine: s.id, fromPart, toPart, drain: true });
   }
-  if (!best) return;
-  const { id } = best;
-  if (actions.some((a) => a.kind === 'move' && a.machine === id)) return;
-  actions.push({ kind: 'move', machine: id, fromPart: donor.load.part, toPart: taker.load.part, drain: true });
 }
 
 /** The kind of machine that costs least for what is missing; spread over zones where the price is the same. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -26,7 +26,7 @@
 import { Truce } from './truce';
 
 const TICK_MS = 250;
-const STATUS_MS = 700;
+const STATUS_MS = 500;
 /** A store that has not answered for this long counts as out of reach. */
 const STORE_SILENT_MS = 1500;
 
@@ -39,8 +39,8 @@
   private readonly runs: Runs;
   private readonly parts = new Map<string, PartActor>();
   private readonly peers = new Map<string, PeerLink>();
+  private recordedTypes: ReadonlyMap<string, MachineType> = new Map();
   private readonly peerStoreOk = new Map<string, { ok: boolean; at: number }>();
-  private types: ReadonlyMap<string, MachineType> = new Map();
 
   constructor(
     private readonly settings: Settings,
@@ -64,7 +64,7 @@
       this.sendTo(to, message),
     );
     const teams = new Map(settings.teams.map((t) => [t.name, t]));
-    this.runs = new Runs(this.ledger, clock, teams, () => this.types);
+    this.runs = new Runs(this.ledger, clock, teams, () => this.types());
     this.ledger.changes.subscribe((change) => this.forward(change));
     this.ledger.batches.subscribe(() => this.reconcile());
   }
@@ -120,10 +120,15 @@
       const record = change.value as PipelineRecord;
       for (const part of this.parts.values()) part.tell({ kind: 'pipeline', record, version: change.version });
     } else if (change.key === keys.catalog) {
-      this.types = new Map((change.value as MachineType[]).map((t) => [t.name, t]));
+      this.recordedTypes = new Map((change.value as MachineType[]).map((t) => [t.name, t]));
     }
   }
 
+  /** The machine types as the cloud last told us, else as another controller recorded them. */
+  private types(): ReadonlyMap<string, MachineType> {
+    return this.leader.types.size > 0 ? this.leader.types : this.recordedTypes;
+  }
+
   /** Makes the part actors those that the store says are ours. The replica is whole when this runs. */
   private reconcile(): void {
     for (const [id, part] of this.parts) {
@@ -156,7 +161,7 @@
       id,
       version,
       teams,
-      () => this.types,
+      () => this.types(),
       (ref) => (this.ledger.entries.get(keys.pipeline(ref))?.value as PipelineRecord | undefined)?.jobs[0]?.spec,
       { reportMs: settings.reportMs, leaseMs: settings.leaseMs, valueBytes: settings.store.valueBytes },
     );
@@ -288,7 +293,7 @@
 
   /** Able to take requests: unless the store is closed to us alone, then another controller does better. */
   private ready(): boolean {
-    if (!this.ledger.synced) return false;
+    if (!this.ledger.synced || this.types().size === 0) return false;
     if (this.ledger.answering(3000)) return true;
     const now = this.clock.steady();
     return ![...this.peerStoreOk.values()].some((p) => p.ok && now - p.at < 2500);
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -127,6 +127,8 @@
         return;
       case 'tick':
         void this.claim();
+        // Nobody can take a submission without the machine types: at first, whoever starts asks for them.
+        if (!this.ledger.entries.has(keys.catalog) && this.types.size === 0) this.refreshCatalog(now);
         if (!this.leading) return;
         void this.assign(now);
         this.watchCloud(now);
@@ -207,12 +209,15 @@
     const parts = this.parts();
     if (parts.length === 0 && members.size < peers && now - this.since < GATHER_MS) return;
     this.assigning = true;
-    const held = new Map([...members.keys()].map((m) => [m, 0]));
+    // The leader counts as holding a little already, so that parts go to the others first.
+    const held = new Map([...members.keys()].map((m) => [m, m === this.member.name ? 0.5 : 0]));
     for (const p of parts) if (held.has(p.record.owner)) held.set(p.record.owner, (held.get(p.record.owner) ?? 0) + 1);
     const least = (): string | undefined => [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0];
     try {
       if (parts.length === 0) {
-        const split = splitTeams(this.settings.teams, 1);
+        // One controller stays free of parts: it leads, and is the spare that takes over. Fewer, larger parts
+        // also leave less of the fleet idle on the wrong side.
+        const split = splitTeams(this.settings.teams, Math.max(1, peers - 1));
         for (const [i, teams] of split.entries()) {
           const owner = least();
           if (owner) await this.give(`p${i}`, teams, owner, members, 0, null);
@@ -267,7 +272,7 @@
     held: ReadonlyMap<string, number>,
     now: number,
   ): void {
-    const empty = [...held].find(([, n]) => n === 0)?.[0];
+    const empty = [...held].find(([, n]) => n < 1)?.[0];
     if (!empty) return;
     const from = [...held].sort((a, b) => b[1] - a[1])[0];
     if (!from || from[1] < 2) return;
@@ -300,10 +305,7 @@
   }
 
   private watchCloud(now: number): void {
-    if (now - this.catalogAt > (this.types.size === 0 ? 1000 : CATALOG_MS) && this.pacer.take(now, 1)) {
-      this.catalogAt = now;
-      void this.fetchCatalog();
-    }
+    this.refreshCatalog(now);
     if (!this.listing && now - this.listedAt > LIST_MS && this.pacer.take(now, 1)) {
       this.listedAt = now;
       this.listing = true;
@@ -321,6 +323,12 @@
     }
   }
 
+  private refreshCatalog(now: number): void {
+    if (now - this.catalogAt <= (this.types.size === 0 ? 1000 : CATALOG_MS) || !this.pacer.take(now, 1)) return;
+    this.catalogAt = now;
+    void this.fetchCatalog();
+  }
+
   private async fetchCatalog(): Promise<void> {
     const answer = await this.cloud.call('GET', '/catalog', undefined, CLOUD_MS);
     const types = answer?.status === 200 ? parseCatalog(answer.body) : null;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -639,6 +639,7 @@
       part: this.id,
       version: this.version,
       workLeft,
+      backlog: this.sorted().reduce((sum, j) => sum + j.waiting * j.spec.cpus * j.spec.expectedS, 0),
       demands: [...demands.values()],
       machines: [...this.machines.values()].map((m) => {
         const free = this.free(m) ?? { cpus: 0, accelerators: 0, memoryGb: 0 };
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -42,6 +42,8 @@
   machines: MachineLoad[];
   /** CPU seconds that the tasks now out are expected to take still. */
   workLeft: number;
+  /** CPU seconds that wait, also beyond what the teams' limits allow now. */
+  backlog: number;
 }
 
 export type PeerMessage =
@@ -75,6 +77,7 @@
                 { name: 'part', type: 'string' },
                 { name: 'version', type: 'long' },
                 { name: 'workLeft', type: 'double' },
+                { name: 'backlog', type: 'double' },
                 {
                   name: 'demands',
                   type: {
