--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -1,5 +1,5 @@
 import { type MachineType, type RentalOrder } from '../protocol/cloud';
-import { type Demand, type MachineLoad, type PartLoad } from '../protocol/peers';
+import { LEAVES_FLEET, type Demand, type MachineLoad, type PartLoad } from '../protocol/peers';
 import { allows, fits, type Free } from './placement';
 
 export interface FleetMachine {
@@ -33,13 +33,15 @@
 /** Within how many seconds the waiting work of an urgency is meant to be done; index as in URGENCIES. */
 const DRAIN_S = [15, 20, 40, 75] as const;
 /** An idle machine is kept this long: work comes in waves, and a new one must boot and fetch first. */
-const KEEP_IDLE_MS = 20_000;
+const KEEP_IDLE_MS = { spot: 15_000, ordinary: 6000 };
 const SILENT_MS = 30_000;
 /** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
 const ORDINARY_PATIENCE = 2;
 /** A part gives a machine away while another would need this many times as long for its work. */
 const LEND_RATIO = 1.3;
 const LEND_FROM_S = 8;
+/** Draining leaves room unused: it is worth it for machines whose last task ends soon. */
+const DRAIN_WITHIN_S = 20;
 
 interface Supply {
   id: string;
@@ -67,15 +69,17 @@
     const load = loadOf.get(m.id);
     const why = broken(m, load, picture);
     if (why) actions.push({ kind: 'retire', machine: m.id, part: m.part, why, force: true });
-    else if (!m.booting && load?.tasks === 0 && !load.leaving) idle.push(m);
+    else if (!m.booting && load?.tasks === 0 && load.leavingTo === null) idle.push(m);
   }
   const views = picture.loads.map((load) => view(load, picture, loadOf));
   for (const part of views) serve(part, picture, idle, actions);
   lend(views, picture, loadOf, actions);
+  keep(views, picture, loadOf, actions);
+  spare(views, picture, loadOf, actions);
   const moved = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
   for (const m of idle) {
     const load = loadOf.get(m.id);
-    if (load && load.idleMs > KEEP_IDLE_MS && !moved.has(m.id)) {
+    if (load && load.idleMs > (m.spot ? KEEP_IDLE_MS.spot : KEEP_IDLE_MS.ordinary) && !moved.has(m.id)) {
       actions.push({ kind: 'retire', machine: m.id, part: m.part, why: 'idle', force: false });
     }
   }
@@ -96,7 +100,7 @@
   for (const m of picture.machines) {
     const type = picture.types.get(m.type);
     const state = loadOf.get(m.id);
-    if (m.part !== load.part || m.returning || !type || state?.leaving) continue;
+    if (m.part !== load.part || m.returning || !type || (state && state.leavingTo !== null)) continue;
     const free = m.booting
       ? { cpus: type.cpus, accelerators: type.accelerators, memoryGb: type.memoryGb }
       : {
@@ -201,14 +205,14 @@
   // What is being emptied already counts for the one that gets it.
   let leaving = 0;
   for (const m of picture.machines) {
-    if (loadOf.get(m.id)?.leaving) leaving += picture.types.get(m.type)?.cpus ?? 0;
+    if (loadOf.get(m.id)?.leavingTo === taker.load.part) leaving += picture.types.get(m.type)?.cpus ?? 0;
   }
   let [has, gets] = [cpusOf(donor), cpusOf(taker) + leaving];
   const taken = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
   // Emptiest first: what is free or still booting moves at once.
   const offers = donor.supply
     .filter((s) => !taken.has(s.id) && loadOf.has(s.id) && taker.demands.some((d) => suits(d, s)))
-    .filter((s) => !loadOf.get(s.id)?.noticed)
+    .filter((s) => !loadOf.get(s.id)?.noticed && (loadOf.get(s.id)?.emptyInS ?? 0) < DRAIN_WITHIN_S)
     .sort((a, b) => b.free.cpus / b.type.cpus - a.free.cpus / a.type.cpus);
   for (const s of offers) {
     const slow = horizon(taker, gets);
@@ -222,6 +226,53 @@
   }
 }
 
+/** Takes a draining back that the work since has made wrong. */
+function keep(
+  views: readonly PartView[],
+  picture: FleetPicture,
+  loadOf: ReadonlyMap<string, MachineLoad>,
+  actions: FleetAction[],
+): void {
+  const byPart = new Map(views.map((v) => [v.load.part, v]));
+  for (const m of picture.machines) {
+    const to = loadOf.get(m.id)?.leavingTo;
+    const from = byPart.get(m.part);
+    if (to === undefined || to === null || !from) continue;
+    const taker = byPart.get(to);
+    const wanted =
+      to === LEAVES_FLEET
+        ? from.demands.length === 0
+        : taker && horizon(taker, cpusOf(taker)) > horizon(from, cpusOf(from));
+    if (!wanted) actions.push({ kind: 'move', machine: m.id, fromPart: m.part, toPart: m.part, drain: true });
+  }
+}
+
+/** Empties the dearest machine whose tasks the others of its part have room for, while nothing waits. */
+function spare(
+  views: readonly PartView[],
+  picture: FleetPicture,
+  loadOf: ReadonlyMap<string, MachineLoad>,
+  actions: FleetAction[],
+): void {
+  for (const part of views) {
+    if (part.demands.length > 0 || picture.machines.some((m) => m.part === part.load.part && m.booting)) continue;
+    const running = part.supply.filter((s) => (loadOf.get(s.id)?.tasks ?? 0) > 0);
+    const free = running.reduce((sum, s) => sum + s.free.cpus, 0);
+    let worst: Supply | null = null;
+    let worstCost = 0;
+    for (const s of running) {
+      const used = s.type.cpus - s.free.cpus;
+      // Twice the room that its tasks take: some of it will be needed by what comes next.
+      if (free - s.free.cpus < 2 * used) continue;
+      const cost = ((s.spot ? s.type.spotPrice : s.type.price) * s.free.cpus) / s.type.cpus;
+      if (cost > worstCost) [worst, worstCost] = [s, cost];
+    }
+    if (!worst || actions.some((a) => a.kind === 'move' && a.machine === worst?.id)) continue;
+    const { part: fromPart } = part.load;
+    actions.push({ kind: 'move', machine: worst.id, fromPart, toPart: LEAVES_FLEET, drain: true });
+  }
+}
+
 /** The kind of machine that costs least for what is missing; spread over zones where the price is the same. */
 function cheapest(
   demand: Demand,
--- a/src/coordination/part-actor.ts
+++ b/src/coordination/part-actor.ts
@@ -3,6 +3,7 @@
 import { type Log } from '../transport/log';
 import { Priority, type Ledger, type TxnResult } from '../storage/ledger';
 import { keys, type MachineRecord, type PartRecord, type PipelineRecord } from '../protocol/records';
+import { LEAVES_FLEET } from '../protocol/peers';
 import { type Condition, type Write } from '../protocol/store';
 import { type Command, type Report } from '../protocol/workers';
 import { PartCore, type JobWrite } from './part';
@@ -90,7 +91,10 @@
   }
 
   private lendEmptied(): void {
-    for (const { id, toPart } of this.core.emptied()) this.relend(id, (r) => ({ ...r, part: toPart }), false);
+    for (const { id, toPart } of this.core.emptied()) {
+      const leaves = toPart === LEAVES_FLEET;
+      this.relend(id, (r) => (leaves ? { ...r, phase: 'returning', why: 'spare' } : { ...r, part: toPart }), false);
+    }
   }
 
   private write(now: number): void {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -143,7 +143,8 @@
   drainTo(id: string, part: string): void {
     const machine = this.machines.get(id);
     if (!machine || machine.locked) return;
-    machine.leavingTo = part;
+    machine.leavingTo = part === this.id ? null : part;
+    if (machine.leavingTo === null) return;
     for (const task of machine.unplan()) this.giveBack(task);
   }
 
@@ -627,12 +628,15 @@
       }
     }
     let workLeft = 0;
+    const emptyIn = new Map<string, number>();
     for (const machine of this.machines.values()) {
       for (const task of machine.tasks.values()) {
         const spec = this.jobs.get(task.ref)?.spec;
         if (!spec) continue;
         const ran = task.runningSince === null ? 0 : (now - task.runningSince) / 1000;
-        workLeft += spec.cpus * Math.max(spec.expectedS - ran, spec.expectedS * 0.2);
+        const left = Math.max(spec.expectedS - ran, spec.expectedS * 0.2);
+        workLeft += spec.cpus * left;
+        emptyIn.set(machine.id, Math.max(emptyIn.get(machine.id) ?? 0, left));
       }
     }
     return {
@@ -653,7 +657,8 @@
           silentMs: m.silentMs(now),
           faulty: m.failures >= FAULTY_AFTER,
           noticed: m.noticeUntil !== null,
-          leaving: m.leavingTo !== null,
+          leavingTo: m.leavingTo,
+          emptyInS: emptyIn.get(m.id) ?? 0,
         };
       }),
     };
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -31,10 +31,15 @@
   silentMs: number;
   faulty: boolean;
   noticed: boolean;
-  /** Being emptied, to be lent to another part. */
-  leaving: boolean;
+  /** The part that gets it once it is empty, LEAVES_FLEET if the cloud does, or null. */
+  leavingTo: string | null;
+  /** Seconds until its last task is expected to end. */
+  emptyInS: number;
 }
 
+/** Stands for a part where an emptied machine is to go back to the cloud. */
+export const LEAVES_FLEET = '';
+
 export interface PartLoad {
   part: string;
   version: number;
@@ -50,7 +55,10 @@
   | { kind: 'status'; member: string; seq: number; storeOk: boolean; incarnation: number; parts: PartLoad[] }
   /** Answers status `seq`; `promised`: not to take anything of the asker's over for PROMISE_MS from now. */
   | { kind: 'pong'; member: string; seq: number; storeOk: boolean; promised: boolean }
-  /** `drain`: the machine may be in use; nothing new is to be put on it, and it moves once it is empty. */
+  /**
+   * `drain`: the machine may be in use; nothing new is to be put on it, and it moves once it is empty. Naming
+   * the part where it is takes that back.
+   */
   | { kind: 'move'; machine: string; toPart: string; drain: boolean }
   | { kind: 'retire'; machine: string; why: string; force: boolean }
   | { kind: 'handover'; part: string; to: string };
@@ -118,7 +126,8 @@
                         { name: 'silentMs', type: 'double' },
                         { name: 'faulty', type: 'boolean' },
                         { name: 'noticed', type: 'boolean' },
-                        { name: 'leaving', type: 'boolean' },
+                        { name: 'leavingTo', type: ['null', 'string'] },
+                        { name: 'emptyInS', type: 'double' },
                       ],
                     },
                   },
