--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,8 +1,5 @@
-import { createServer } from 'node:http';
 import { every, type Clock } from '../transport/clock';
-import { HttpClient } from '../transport/http-client';
 import { type Log } from '../transport/log';
-import { listenForPeers, PeerLink } from '../transport/peer-link';
 import { type MachineType } from '../protocol/cloud';
 import { decodePeer, encodePeer, type PartLoad, type PeerMessage } from '../protocol/peers';
 import {
@@ -16,9 +13,9 @@
 import { type Settings } from '../protocol/settings';
 import { type Change } from '../protocol/store';
 import { type Report } from '../protocol/workers';
-import { Ledger } from '../storage/ledger';
-import { gateway, type ReportReply } from './gateway';
-import { Leader } from './leader';
+import { Ledger, type StoreTransport } from '../storage/ledger';
+import { type ReportReply } from './gateway';
+import { Leader, type CloudTransport } from './leader';
 import { Member } from './member';
 import { PartCore } from './part';
 import { PartActor } from './part-actor';
@@ -30,15 +27,23 @@
 /** A store that has not answered for this long counts as out of reach. */
 const STORE_SILENT_MS = 1500;
 
+/** What joins a controller to the rest of the world. */
+export interface Wiring {
+  store: StoreTransport;
+  /** Watches wait long; they have connections of their own. */
+  watch: StoreTransport;
+  cloud: CloudTransport;
+  toPeer: (member: string, bytes: Buffer) => void;
+}
+
 /** One controller: the actors and what joins them. */
 export class Controller {
   private readonly ledger: Ledger;
   private readonly member: Member;
   private readonly leader: Leader;
   private readonly truce: Truce;
-  private readonly runs: Runs;
+  readonly runs: Runs;
   private readonly parts = new Map<string, PartActor>();
-  private readonly peers = new Map<string, PeerLink>();
   private recordedTypes: ReadonlyMap<string, MachineType> = new Map();
   private readonly peerStoreOk = new Map<string, { ok: boolean; at: number }>();
 
@@ -46,10 +51,9 @@
     private readonly settings: Settings,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly wiring: Wiring,
   ) {
-    const store = new HttpClient(settings.state, 12);
-    const watch = new HttpClient(settings.state, 2);
-    this.ledger = new Ledger(store, watch, clock, log, {
+    this.ledger = new Ledger(wiring.store, wiring.watch, clock, log, {
       requestRate: settings.store.requestRate,
       writeRate: settings.store.writeRate,
       controllers: settings.peers.length + 1,
@@ -59,8 +63,7 @@
       clock.steady(),
     );
     this.member = new Member(settings.member, this.ledger, clock, log, this.truce, () => this.reconcile());
-    const cloud = new HttpClient(settings.cloud, 6);
-    this.leader = new Leader(settings, this.member, this.ledger, cloud, clock, log, this.truce, (to, message) =>
+    this.leader = new Leader(settings, this.member, this.ledger, wiring.cloud, clock, log, this.truce, (to, message) =>
       this.sendTo(to, message),
     );
     const teams = new Map(settings.teams.map((t) => [t.name, t]));
@@ -70,34 +73,10 @@
   }
 
   start(): void {
-    const { settings, clock, log } = this;
-    const app = gateway({
-      runs: this.runs,
-      report: (report, reply) => this.report(report, reply),
-      ready: () => this.ready(),
-      status: () => this.status(),
-      log,
-    });
-    const server = createServer(app);
-    server.keepAliveTimeout = 120_000;
-    server.requestTimeout = 0;
-    const [host, port] = split(settings.listen);
-    server.on('error', (error) => log.error({ error }, 'cannot listen'));
-    server.listen(port, host);
-    const [peerHost, peerPort] = split(settings.peerListen);
-    listenForPeers(
-      peerHost,
-      peerPort,
-      (bytes, answer) => this.fromPeer(bytes, answer),
-      (error) => log.error({ error }, 'cannot listen for peers'),
-    );
-    for (const peer of settings.peers) {
-      this.peers.set(peer.member, new PeerLink(peer.address, clock, (bytes) => this.fromPeer(bytes, () => undefined)));
-    }
     void this.ledger.follow();
     this.member.tell({ kind: 'join' });
-    every(clock, TICK_MS, () => this.tick());
-    every(clock, STATUS_MS, () => this.sendStatus());
+    every(this.clock, TICK_MS, () => this.tick());
+    every(this.clock, STATUS_MS, () => this.sendStatus());
   }
 
   // The store's picture.
@@ -190,7 +169,7 @@
 
   // Workers.
 
-  private report(report: Report, reply: (reply: ReportReply) => void): void {
+  report(report: Report, reply: (reply: ReportReply) => void): void {
     if (!this.member.alive()) return reply({ kind: 'busy' });
     const record = this.ledger.entries.get(keys.machine(report.machine))?.value as MachineRecord | undefined;
     if (!record) {
@@ -222,10 +201,10 @@
 
   private sendTo(member: string, message: PeerMessage): void {
     if (member === this.settings.member) this.take(message);
-    else this.peers.get(member)?.send(encodePeer(message));
+    else this.wiring.toPeer(member, encodePeer(message));
   }
 
-  private fromPeer(bytes: Buffer, answer: (bytes: Buffer) => void): void {
+  fromPeer(bytes: Buffer, answer: (bytes: Buffer) => void): void {
     const message = decodePeer(bytes);
     if (!message) {
       this.log.info('malformed message from a peer');
@@ -281,7 +260,7 @@
       incarnation: this.member.incarnation,
     };
     if (leader === this.settings.member) this.take({ ...status, parts });
-    for (const peer of this.peers.keys()) this.sendTo(peer, { ...status, parts: peer === leader ? parts : [] });
+    for (const { member: peer } of this.settings.peers) this.sendTo(peer, { ...status, parts: peer === leader ? parts : [] });
   }
 
   // Time, health.
@@ -292,14 +271,14 @@
   }
 
   /** Able to take requests: unless the store is closed to us alone, then another controller does better. */
-  private ready(): boolean {
+  ready(): boolean {
     if (!this.ledger.synced || this.types().size === 0) return false;
     if (this.ledger.answering(3000)) return true;
     const now = this.clock.steady();
     return ![...this.peerStoreOk.values()].some((p) => p.ok && now - p.at < 2500);
   }
 
-  private status(): object {
+  status(): object {
     return {
       member: this.settings.member,
       alive: this.member.alive(),
@@ -311,8 +290,3 @@
     };
   }
 }
-
-function split(address: string): [string, number] {
-  const colon = address.lastIndexOf(':');
-  return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
--- /dev/null
+++ b/src/coordination/server.ts
@@ -0,0 +1,52 @@
+import { createServer } from 'node:http';
+import { type Clock } from '../transport/clock';
+import { HttpClient } from '../transport/http-client';
+import { type Log } from '../transport/log';
+import { listenForPeers, PeerLink } from '../transport/peer-link';
+import { type Settings } from '../protocol/settings';
+import { Controller } from './controller';
+import { gateway } from './gateway';
+
+const STORE_CONNECTIONS = 12;
+const WATCH_CONNECTIONS = 2;
+const CLOUD_CONNECTIONS = 6;
+
+/** Puts a controller on the network. */
+export function serve(settings: Settings, clock: Clock, log: Log): void {
+  const links = new Map<string, PeerLink>();
+  const controller = new Controller(settings, clock, log, {
+    store: new HttpClient(settings.state, STORE_CONNECTIONS),
+    watch: new HttpClient(settings.state, WATCH_CONNECTIONS),
+    cloud: new HttpClient(settings.cloud, CLOUD_CONNECTIONS),
+    toPeer: (member, bytes) => links.get(member)?.send(bytes),
+  });
+  const app = gateway({
+    runs: controller.runs,
+    report: (report, reply) => controller.report(report, reply),
+    ready: () => controller.ready(),
+    status: () => controller.status(),
+    log,
+  });
+  const server = createServer(app);
+  server.keepAliveTimeout = 120_000;
+  server.requestTimeout = 0;
+  server.on('error', (error) => log.error({ error }, 'cannot listen'));
+  const users = split(settings.listen);
+  server.listen(users.port, users.host);
+  const peers = split(settings.peerListen);
+  listenForPeers(
+    peers.host,
+    peers.port,
+    (bytes, answer) => controller.fromPeer(bytes, answer),
+    (error) => log.error({ error }, 'cannot listen for peers'),
+  );
+  for (const { member, address } of settings.peers) {
+    links.set(member, new PeerLink(address, clock, (bytes) => controller.fromPeer(bytes, () => undefined)));
+  }
+  controller.start();
+}
+
+function split(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
--- /dev/null
+++ b/test/cluster.test.ts
@@ -0,0 +1,185 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { MachineState } from '../src/coordination/machine';
+import { Member } from '../src/coordination/member';
+import { PartCore } from '../src/coordination/part';
+import { Truce } from '../src/coordination/truce';
+import { World } from './standin/world';
+
+const DAY_MS = 240_000;
+const QUIET_FROM_MS = 150_000;
+
+type Fault = (world: World) => void;
+
+const faults: Record<string, Fault> = {
+  crash: (w) => w.crash(w.pick(3), 3000 + w.pick(4000)),
+  'crash and back at once': (w) => w.crash(w.pick(3), 150),
+  'crash of all': (w) => [0, 1, 2].forEach((i) => w.crash(i, 5000 + i * 200)),
+  'state outage': (w) => w.store.outage(12_000 + w.pick(14_000)),
+  'state refuses one': (w) => {
+    const node = w.nodes[w.pick(3)];
+    if (!node) return;
+    node.storeRefused = true;
+    w.time.at(w.time.now + 20_000 + w.pick(15_000), () => (node.storeRefused = false));
+  },
+  'cut from workers': (w) => {
+    const node = w.nodes[w.pick(3)];
+    if (!node) return;
+    node.cut = true;
+    w.time.at(w.time.now + 15_000, () => (node.cut = false));
+  },
+  'machine hangs': (w) => {
+    const workers = [...w.cloud.workers.values()];
+    const worker = workers[w.pick(Math.max(1, workers.length))];
+    if (!worker) return;
+    worker.hung = true;
+    w.time.at(w.time.now + 4000 + w.pick(16_000), () => (worker.hung = false));
+  },
+  'machine taken': (w) => {
+    const names = [...w.cloud.workers.keys()];
+    const name = names[w.pick(Math.max(1, names.length))];
+    if (name) w.cloud.take(name);
+  },
+  'machine sick': (w) => {
+    const worker = [...w.cloud.workers.values()][0];
+    if (worker) worker.sick = true;
+  },
+  'cloud down': (w) => {
+    w.cloud.down = true;
+    w.time.at(w.time.now + 15_000, () => (w.cloud.down = false));
+  },
+};
+
+async function day(seed: number, perDay: number): Promise<World> {
+  const world = new World(seed);
+  const names = Object.keys(faults);
+  for (let n = 0; n < 26; n++) {
+    world.time.at(2500 + world.pick(QUIET_FROM_MS - 10_000), () => world.submit(n));
+  }
+  for (let n = 0; n < perDay; n++) {
+    const fault = faults[names[world.pick(names.length)] as string] as Fault;
+    world.time.at(8000 + world.pick(QUIET_FROM_MS - 30_000), () => fault(world));
+  }
+  await world.run(DAY_MS);
+  return world;
+}
+
+test('no rule is broken, and all work is done, whatever fails', async (t) => {
+  for (const [seed, perDay] of [
+    [1, 0],
+    [2, 3],
+    [3, 5],
+    [4, 8],
+    [5, 8],
+    [6, 12],
+    [7, 12],
+    [8, 16],
+  ] as const) {
+    await t.test(`seed ${seed}, ${perDay} faults`, async () => {
+      const world = await day(seed, perDay);
+      assert.deepEqual(world.broken, []);
+      const open = world.jobs.filter((j) => j.final === null).map((j) => j.ref);
+      assert.deepEqual(open, [], 'unfinished jobs');
+      assert.ok(world.started >= world.jobs.length);
+    });
+  }
+});
+
+/** A day whose one kind of trouble, again and again, is what a guard is there for. */
+async function directedDay(seed: number, trouble: Fault): Promise<World> {
+  const world = new World(seed);
+  for (let n = 0; n < 40; n++) world.time.at(2500 + world.pick(100_000), () => world.submit(n));
+  for (const at of [30_000, 75_000]) world.time.at(at, () => trouble(world));
+  await world.run(DAY_MS);
+  return world;
+}
+
+/** Each guard taken away must break a rule on such a day, or the days above would prove nothing. */
+const sabotages: { name: string; apply: () => () => void; trouble: Fault; breaks: RegExp }[] = [
+  {
+    name: 'new work starts while machines taken over have not seen the new token',
+    apply: () => patch(PartCore.prototype, 'unresolved', { get: () => 0 }),
+    trouble: (w) => {
+      for (const worker of w.cloud.workers.values()) {
+        worker.hung = w.pick(2) === 0;
+        w.time.at(w.time.now + 9000, () => (worker.hung = false));
+      }
+      for (let i = 0; i < 3; i++) w.crash(i, 1000);
+    },
+    breaks: /ran_twice|quota/,
+  },
+  {
+    name: "a silent machine's tasks count as gone before its lease has run out",
+    apply: () => {
+      const real = Object.getOwnPropertyDescriptor(MachineState.prototype, 'expire') as PropertyDescriptor;
+      const eager = function (this: MachineState, now: number): unknown {
+        return (real.value as MachineState['expire']).call(this, now, 3000);
+      };
+      return patch(MachineState.prototype, 'expire', { value: eager });
+    },
+    trouble: (w) => {
+      for (const worker of w.cloud.workers.values()) {
+        worker.hung = w.pick(2) === 0;
+        w.time.at(w.time.now + 9000, () => (worker.hung = false));
+      }
+    },
+    breaks: /ran_twice|quota/,
+  },
+  {
+    name: 'a controller acts after its grant has ended',
+    apply: () => patch(Member.prototype, 'alive', { value: () => true }),
+    trouble: (w) => {
+      const node = w.nodes[w.pick(3)];
+      if (!node) return;
+      node.storeRefused = true;
+      w.time.at(w.time.now + 40_000, () => (node.storeRefused = false));
+    },
+    breaks: /ran_twice|quota|ran_cancelled/,
+  },
+  {
+    name: 'a promise is given though the store answers',
+    apply: () => {
+      const real = Object.getOwnPropertyDescriptor(Truce.prototype, 'promise') as PropertyDescriptor;
+      const loose = function (this: Truce, member: string, _seen: boolean, _ok: boolean, now: number): unknown {
+        (real.value as Truce['promise']).call(this, member, true, false, Number.NEGATIVE_INFINITY);
+        return (real.value as Truce['promise']).call(new Truce([], 0), member, true, false, now);
+      };
+      return patch(Truce.prototype, 'promise', { value: loose });
+    },
+    trouble: (w) => {
+      const node = w.nodes[w.pick(3)];
+      if (!node) return;
+      node.storeRefused = true;
+      w.time.at(w.time.now + 40_000, () => (node.storeRefused = false));
+    },
+    breaks: /ran_twice|quota|ran_cancelled/,
+  },
+];
+
+function patch(target: object, key: string, descriptor: PropertyDescriptor): () => void {
+  const real = Object.getOwnPropertyDescriptor(target, key) as PropertyDescriptor;
+  Object.defineProperty(target, key, { ...descriptor, configurable: true });
+  return () => Object.defineProperty(target, key, real);
+}
+
+test('the days notice a missing guard', async (t) => {
+  for (const { name, apply, trouble, breaks } of sabotages) {
+    await t.test(name, async () => {
+      const whole = await directedDay(1, trouble);
+      assert.deepEqual(whole.broken, [], 'with the guard in place');
+      const restore = apply();
+      try {
+        const found: string[] = [];
+        for (let seed = 1; seed <= 8 && !found.some((b) => breaks.test(b)); seed++) {
+          found.push(...(await directedDay(seed, trouble)).broken);
+        }
+        assert.ok(
+          found.some((b) => breaks.test(b)),
+          `nothing noticed: ${found.join('; ')}`,
+        );
+      } finally {
+        restore();
+      }
+    });
+  }
+});
--- /dev/null
+++ b/test/standin/clock.ts
@@ -0,0 +1,65 @@
+import type { Clock } from '../../src/transport/clock';
+
+interface Timer {
+  at: number;
+  order: number;
+  action: () => void;
+}
+
+/** Virtual time: nothing waits, everything happens in the order of its time. */
+export class VirtualTime {
+  now = 0;
+  private order = 0;
+  private timers: Timer[] = [];
+
+  at(ms: number, action: () => void): Timer {
+    const timer = { at: Math.max(ms, this.now), order: this.order++, action };
+    let low = 0;
+    let high = this.timers.length;
+    while (low < high) {
+      const mid = (low + high) >> 1;
+      if ((this.timers[mid] as Timer).at <= timer.at) low = mid + 1;
+      else high = mid;
+    }
+    this.timers.splice(low, 0, timer);
+    return timer;
+  }
+
+  cancel(timer: Timer): void {
+    const i = this.timers.indexOf(timer);
+    if (i >= 0) this.timers.splice(i, 1);
+  }
+
+  /** Runs until `end`; promises settle between two moments. */
+  async run(end: number): Promise<void> {
+    for (;;) {
+      const next = this.timers[0];
+      if (!next || next.at > end) break;
+      this.timers.shift();
+      this.now = next.at;
+      next.action();
+      if (this.timers[0]?.at !== this.now) await settle();
+    }
+    this.now = end;
+  }
+
+  /** A process's clocks: they stop firing when the process has ended. */
+  clock(isUp: () => boolean, rate = 1): Clock {
+    const origin = this.now;
+    return {
+      steady: () => origin + (this.now - origin) * rate,
+      today: () => new Date(1_790_000_000_000 + this.now),
+      after: (ms, action) => {
+        const timer = this.at(this.now + ms / rate, () => {
+          if (isUp()) action();
+        });
+        return () => this.cancel(timer);
+      },
+    };
+  }
+}
+
+/** Lets chains of promises run to where they wait for virtual time again. */
+export async function settle(): Promise<void> {
+  for (let i = 0; i < 3; i++) await new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/test/standin/fleet.ts
@@ -0,0 +1,282 @@
+import type { HttpAnswer } from '../../src/transport/http-client';
+import type { VirtualTime } from './clock';
+
+export interface WireOrder {
+  order: 'start' | 'kill' | 'reap';
+  piece: string;
+  try: number;
+  wind_down_s?: number;
+}
+
+interface Piece {
+  try: number;
+  status: 'pulling' | 'running' | 'flushing' | 'ended';
+  exit_reason?: string;
+  saved?: boolean;
+  timer?: ReturnType<VirtualTime['at']>;
+}
+
+export interface FleetHooks {
+  /** Called when a task begins on a machine; throws if a rule is broken. */
+  began: (machine: Worker, piece: string) => void;
+  completed: (piece: string) => void;
+  runMs: (piece: string) => number;
+  /** Brings a report to a controller; null: no answer in time. */
+  deliver: (node: number, worker: Worker, report: object) => Promise<HttpAnswer | null>;
+  nodeIndex: (name: string) => number | null;
+  nodes: number;
+  reportMs: number;
+  leaseMs: number;
+}
+
+/** Stands in for a machine and its worker, after the users' description of both. */
+export class Worker {
+  readonly pieces = new Map<string, Piece>();
+  shift = 1;
+  tick = 0;
+  baton = 0;
+  up = true;
+  hung = false;
+  /** Every task fails. */
+  sick = false;
+  private node = 0;
+  private lastAnswered: number;
+  private busy = false;
+  private reportedAt = Number.NEGATIVE_INFINITY;
+  private dueSoon = false;
+
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly hooks: FleetHooks,
+    readonly name: string,
+    readonly model: string,
+    readonly yard: string,
+    readonly loaners: boolean,
+  ) {
+    this.lastAnswered = time.now;
+    this.node = Number(name.slice(-1)) % hooks.nodes;
+    this.loop();
+  }
+
+  onIt(piece: string): boolean {
+    const p = this.pieces.get(piece);
+    return this.up && (p?.status === 'running' || p?.status === 'flushing');
+  }
+
+  end(): void {
+    this.up = false;
+    this.dropAll();
+  }
+
+  private dropAll(): void {
+    for (const p of this.pieces.values()) if (p.timer) this.time.cancel(p.timer);
+    this.pieces.clear();
+  }
+
+  private loop(): void {
+    if (!this.up) return;
+    if (!this.hung) {
+      this.checkLease();
+      const due = this.time.now - this.reportedAt >= (this.dueSoon ? 500 : this.hooks.reportMs);
+      if (!this.busy && due) void this.report();
+    }
+    this.time.at(this.time.now + 100, () => this.loop());
+  }
+
+  private checkLease(): void {
+    if (this.time.now - this.lastAnswered <= this.hooks.leaseMs) return;
+    this.dropAll();
+    this.shift++;
+    this.lastAnswered = this.time.now;
+    this.dueSoon = true;
+  }
+
+  view(): object {
+    return {
+      velodrome: this.name,
+      address: '10.1.0.1:9000',
+      model: this.model,
+      yard: this.yard,
+      loaners: this.loaners,
+      shift: this.shift,
+      tick: ++this.tick,
+      baton: this.baton,
+      recall_s: null,
+      pieces: [...this.pieces].map(([piece, { try: attempt, status, exit_reason, saved }]) => ({
+        ...{ piece, try: attempt, status, exit_reason, saved },
+      })),
+    };
+  }
+
+  private async report(): Promise<void> {
+    this.busy = true;
+    this.dueSoon = false;
+    const sentAt = this.time.now;
+    const shift = this.shift;
+    this.reportedAt = sentAt;
+    const answer = await this.hooks.deliver(this.node, this, this.view());
+    this.busy = false;
+    if (!this.up || this.hung) return;
+    if (answer?.status === 200) {
+      const body = answer.body as { baton: number; orders: WireOrder[] };
+      if (shift !== this.shift || body.baton < this.baton) return;
+      if (body.baton > this.baton) this.dueSoon = true;
+      this.baton = body.baton;
+      this.lastAnswered = sentAt;
+      for (const order of body.orders) this.execute(order);
+      return;
+    }
+    const named = answer?.status === 421 ? (answer.body as { dispatcher?: string }).dispatcher : undefined;
+    const owner = named === undefined ? null : this.hooks.nodeIndex(named);
+    const next = owner !== null && owner !== this.node ? owner : (this.node + 1) % this.hooks.nodes;
+    // The pause before the next try; 421 with an owner is followed at once.
+    const pause = owner !== null && owner !== this.node ? 50 : 1000;
+    this.node = next;
+    this.reportedAt = this.time.now + pause - this.hooks.reportMs;
+  }
+
+  private execute(order: WireOrder): void {
+    const known = this.pieces.get(order.piece);
+    if (order.order === 'reap') {
+      if (known?.status === 'ended' && known.try === order.try) this.pieces.delete(order.piece);
+      return;
+    }
+    if (order.order === 'kill') {
+      if (known && known.try === order.try && known.status !== 'ended') this.exit(order.piece, known, 'stopped');
+      return;
+    }
+    if (known && known.status !== 'ended') return;
+    if (known && known.try === order.try) return;
+    const piece: Piece = { try: order.try, status: 'pulling' };
+    this.pieces.set(order.piece, piece);
+    this.dueSoon = true;
+    piece.timer = this.time.at(this.time.now + 700, () => this.begin(order.piece, piece));
+  }
+
+  private begin(name: string, piece: Piece): void {
+    if (this.hung) {
+      piece.timer = this.time.at(this.time.now + 200, () => this.begin(name, piece));
+      return;
+    }
+    piece.status = 'running';
+    this.hooks.began(this, name);
+    this.dueSoon = true;
+    const finish = (): void => {
+      if (this.hung) piece.timer = this.time.at(this.time.now + 200, finish);
+      else this.exit(name, piece, this.sick ? 'error' : 'done');
+    };
+    piece.timer = this.time.at(this.time.now + (this.sick ? 300 : this.hooks.runMs(name)), finish);
+  }
+
+  private exit(name: string, piece: Piece, reason: string): void {
+    if (piece.timer) this.time.cancel(piece.timer);
+    piece.status = 'ended';
+    piece.exit_reason = reason;
+    this.dueSoon = true;
+    if (reason === 'done') this.hooks.completed(name);
+  }
+}
+
+export interface Kind {
+  label: string;
+  cpus: number;
+  memory: number;
+}
+
+/** Stands in for the cloud: rents, lists late, takes back. */
+export class StandinCloud {
+  readonly workers = new Map<string, Worker>();
+  private readonly booting = new Map<string, { model: string; yard: string; loaners: boolean }>();
+  private readonly since = new Map<string, number>();
+  private readonly requests = new Map<string, string[]>();
+  private readonly lists: { at: number; body: object }[] = [];
+  private count = 0;
+  down = false;
+
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly hooks: FleetHooks,
+    private readonly kinds: readonly Kind[],
+    private readonly yards: readonly string[],
+    private readonly capacity: number,
+    private readonly lagMs: number,
+    private readonly bootMs: number,
+  ) {}
+
+  kind(label: string): Kind {
+    return this.kinds.find((k) => k.label === label) as Kind;
+  }
+
+  open(model: string, yard: string, loaners: boolean, bootMs: number): string {
+    const name = `i-${String(this.count++).padStart(6, '0')}`;
+    this.booting.set(name, { model, yard, loaners });
+    this.since.set(name, this.time.now);
+    this.time.at(this.time.now + bootMs, () => {
+      if (!this.booting.delete(name)) return;
+      this.workers.set(name, new Worker(this.time, this.hooks, name, model, yard, loaners));
+    });
+    return name;
+  }
+
+  take(name: string): void {
+    this.workers.get(name)?.end();
+    this.workers.delete(name);
+    this.booting.delete(name);
+  }
+
+  request(method: string, path: string, body: unknown): Promise<HttpAnswer> {
+    const answer = (status: number, content: unknown): Promise<HttpAnswer> =>
+      Promise.resolve({ status, body: JSON.parse(JSON.stringify(content)) as unknown });
+    if (this.down) return answer(503, { error: 'trouble' });
+    if (path === '/catalog') {
+      const models = this.kinds.map((k) => ({
+        ...{ label: k.label, cpus: k.cpus, accelerators: 0, memory_gb: k.memory, local_gb: 50, fetch_gb_per_s: 1 },
+        ...{ rate: k.cpus * 0.05, spot_price: k.cpus * 0.02, ready_s: this.bootMs / 1000, yards: this.yards },
+      }));
+      return answer(200, { models });
+    }
+    if (path === '/rentals/return') {
+      for (const name of (body as { velodromes: string[] }).velodromes) this.take(name);
+      return answer(200, {});
+    }
+    if (method === 'POST') return this.rent(body as Rental, answer);
+    this.lists.push({ at: this.time.now, body: this.list() });
+    const shown = this.lists.filter((l) => l.at <= this.time.now - this.lagMs).pop();
+    return answer(200, shown?.body ?? { velodromes: [], truncated: false });
+  }
+
+  private rent(order: Rental, answer: (status: number, content: unknown) => Promise<HttpAnswer>): Promise<HttpAnswer> {
+    const repeated = this.requests.get(order.hire_order);
+    if (repeated) return answer(200, { velodromes: repeated });
+    const room = this.capacity - this.workers.size - this.booting.size;
+    if (room <= 0) return answer(503, { error: 'no capacity' });
+    const names: string[] = [];
+    for (let i = 0; i < Math.min(room, order.how_many); i++) {
+      names.push(this.open(order.model, order.yard, order.loaners, this.bootMs));
+    }
+    this.requests.set(order.hire_order, names);
+    return answer(200, { velodromes: names });
+  }
+
+  private list(): object {
+    const row = (ref: string, m: { model: string; yard: string; loaners: boolean }, status: string): object => ({
+      ...{ ref, address: '10.1.0.1:9000', model: m.model, yard: m.yard, loaners: m.loaners, status },
+      age_s: (this.time.now - (this.since.get(ref) ?? 0)) / 1000,
+    });
+    return {
+      velodromes: [
+        ...[...this.workers].map(([ref, w]) => row(ref, w, 'running')),
+        ...[...this.booting].map(([ref, m]) => row(ref, m, 'booting')),
+      ],
+      truncated: false,
+    };
+  }
+}
+
+interface Rental {
+  hire_order: string;
+  model: string;
+  yard: string;
+  loaners: boolean;
+  how_many: number;
+}
--- /dev/null
+++ b/test/standin/world.ts
@@ -0,0 +1,305 @@
+import pino from 'pino';
+import prand from 'pure-rand';
+import type { HttpAnswer } from '../../src/transport/http-client';
+import { reportAnswer, redirectAnswer, parseReport } from '../../src/protocol/workers';
+import { parseSettings } from '../../src/protocol/settings';
+import { Controller } from '../../src/coordination/controller';
+import { VirtualTime, settle } from './clock';
+import { StandinCloud, type FleetHooks, type Worker } from './fleet';
+import { StandinStore } from './store';
+
+interface Node {
+  controller: Controller | null;
+  up: boolean;
+  storeRefused: boolean;
+  /** Cut from the workers: their reports are held and come late. */
+  cut: boolean;
+}
+
+interface UserJob {
+  ref: string;
+  crew: string;
+  pieces: number;
+  cpus: number;
+  loaners: boolean;
+  together: boolean;
+  accepted: boolean;
+  final: string | null;
+  cancelledAt: number | null;
+  asked: boolean;
+}
+
+const NODES = 3;
+const LEASE_MS = 12_000;
+const CANCEL_MS = 37_000;
+const TEAMS = [
+  { name: 'north', cpus: 8, cpus_max: 16 },
+  { name: 'south', cpus: 8, cpus_max: 12 },
+  { name: 'west', cpus: 4, cpus_max: 8 },
+];
+const KINDS = [
+  { label: 'small', cpus: 4, memory: 16 },
+  { label: 'large', cpus: 12, memory: 48 },
+];
+
+function settingsOf(i: number): string {
+  const peers = [0, 1, 2].filter((k) => k !== i);
+  return JSON.stringify({
+    member: `velodrome-${i}`,
+    site: 'a',
+    serve_on: `10.0.0.${i + 1}:8080`,
+    cluster_listen: `10.0.0.${i + 1}:8081`,
+    peers: peers.map((k) => ({ member: `velodrome-${k}`, addr: `10.0.0.${k + 1}:8081` })),
+    external: { cloud: '10.2.0.2:1', state: '10.2.0.1:1' },
+    facts: {
+      teams: TEAMS,
+      workers: { report_s: 2, lease_s: LEASE_MS / 1000, cancel_s: CANCEL_MS / 1000 },
+      state: { rps: 150, write_rps: 40, value_kb: 4, txn_ops: 12 },
+      cloud: { rps: 6, list_lag_s: 3 },
+    },
+  });
+}
+
+/** Three controllers in one process under virtual time, with users, workers, cloud and state service around. */
+export class World {
+  readonly time = new VirtualTime();
+  readonly store = new StandinStore(this.time);
+  readonly cloud: StandinCloud;
+  readonly nodes: Node[] = [];
+  readonly jobs: UserJob[] = [];
+  /** Rules that were broken. */
+  readonly broken: string[] = [];
+  readonly completed = new Set<string>();
+  started = 0;
+  private random: prand.RandomGenerator;
+
+  constructor(seed: number) {
+    this.random = prand.xoroshiro128plus(seed);
+    const hooks: FleetHooks = {
+      began: (worker, piece) => this.began(worker, piece),
+      completed: (piece) => this.completed.add(piece),
+      runMs: (piece) => 2000 + ((piece.length * 7919 + Number(piece.split('/')[1]) * 104_729) % 9000),
+      deliver: (node, worker, report) => this.deliver(node, worker, report),
+      nodeIndex: (name) => Number(name.split('-')[1]),
+      nodes: NODES,
+      reportMs: 2000,
+      leaseMs: LEASE_MS,
+    };
+    this.cloud = new StandinCloud(this.time, hooks, KINDS, ['a', 'b'], 10, 3000, 5000);
+    for (let i = 0; i < 3; i++) this.cloud.open('small', i === 0 ? 'a' : 'b', false, 0);
+    for (let i = 0; i < NODES; i++) {
+      this.nodes.push({ controller: null, up: false, storeRefused: false, cut: false });
+      this.boot(i);
+    }
+  }
+
+  /** A whole number from 0 to n - 1. */
+  pick(n: number): number {
+    return prand.unsafeUniformIntDistribution(0, n - 1, this.random);
+  }
+
+  boot(i: number): void {
+    const node = this.nodes[i] as Node;
+    node.up = true;
+    const life: { controller: Controller | null } = { controller: null };
+    const isUp = (): boolean => node.up && node.controller === life.controller;
+    const call = (method: string, path: string, body: unknown, timeoutMs: number): Promise<HttpAnswer | null> =>
+      this.overNetwork(timeoutMs, isUp, () => this.store.request(method, path, body, () => node.storeRefused));
+    const controller = new Controller(
+      parseSettings(settingsOf(i)),
+      this.time.clock(isUp, 1 + (i - 1) * 0.0004),
+      pino({ level: 'silent' }),
+      {
+        store: { call },
+        watch: { call },
+        cloud: {
+          call: (method, path, body, timeoutMs) =>
+            this.overNetwork(timeoutMs, isUp, () => this.cloud.request(method, path, body)),
+        },
+        toPeer: (member, bytes) => {
+          const k = Number(member.split('-')[1]);
+          this.time.at(this.time.now + 2, () => {
+            const peer = this.nodes[k];
+            if (!isUp() || !peer?.up) return;
+            peer.controller?.fromPeer(bytes, (reply) =>
+              this.time.at(this.time.now + 2, () => {
+                if (isUp()) controller.fromPeer(reply, () => undefined);
+              }),
+            );
+          });
+        },
+      },
+    );
+    life.controller = controller;
+    node.controller = controller;
+    controller.start();
+  }
+
+  crash(i: number, downMs: number): void {
+    const node = this.nodes[i] as Node;
+    if (!node.up) return;
+    node.up = false;
+    node.controller = null;
+    this.time.at(this.time.now + downMs, () => this.boot(i));
+  }
+
+  /** A request that takes a few milliseconds, now and then comes late, and may outlive its sender. */
+  private overNetwork(
+    timeoutMs: number,
+    isUp: () => boolean,
+    act: () => Promise<HttpAnswer>,
+  ): Promise<HttpAnswer | null> {
+    return new Promise((resolve) => {
+      const late = this.pick(150) === 0;
+      const delay = late ? 2000 + this.pick(6000) : 2 + this.pick(6);
+      this.time.at(this.time.now + timeoutMs, () => resolve(null));
+      this.time.at(this.time.now + delay, () => {
+        void act().then((answer) => this.time.at(this.time.now + 2, () => (isUp() ? resolve(answer) : undefined)));
+      });
+    });
+  }
+
+  private deliver(i: number, worker: Worker, report: object): Promise<HttpAnswer | null> {
+    return new Promise((resolve) => {
+      this.time.at(this.time.now + 4000, () => resolve(null));
+      const node = this.nodes[i] as Node;
+      const arrive = (): void => {
+        if (!node.up || !node.controller) return;
+        const parsed = parseReport(JSON.parse(JSON.stringify(report)));
+        if (!parsed) throw new Error(`${worker.name} sent no report`);
+        node.controller.report(parsed, (reply) => {
+          const answer: HttpAnswer =
+            reply.kind === 'answer'
+              ? { status: 200, body: reportAnswer(reply.token, reply.commands) }
+              : reply.kind === 'redirect'
+                ? { status: 421, body: redirectAnswer(reply.owner) }
+                : { status: 503, body: {} };
+          this.time.at(this.time.now + 2, () => resolve(answer));
+        });
+      };
+      if (!node.up) this.time.at(this.time.now + 5, () => resolve(null));
+      else if (node.cut) this.time.at(this.time.now + 5000 + this.pick(15_000), arrive);
+      else {
+        this.time.at(this.time.now + 2, arrive);
+        // Late copies of old messages do arrive.
+        if (this.pick(25) === 0) this.time.at(this.time.now + 3000 + this.pick(20_000), arrive);
+      }
+    });
+  }
+
+  private spec(piece: string): UserJob | undefined {
+    return this.jobs.find((j) => j.ref === piece.split('/')[0]);
+  }
+
+  /** The rules, checked at the only moment at which they can be broken: when a task begins. */
+  private began(worker: Worker, piece: string): void {
+    this.started++;
+    const job = this.spec(piece);
+    if (!job) return void this.broken.push(`unknown: ${piece}`);
+    const others = [...this.cloud.workers.values()].filter((w) => w !== worker);
+    if (others.some((w) => w.onIt(piece))) this.broken.push(`ran_twice: ${piece} at ${this.time.now}`);
+    let used = 0;
+    const yards = new Set<string>();
+    for (const w of this.cloud.workers.values()) {
+      for (const other of w.pieces.keys()) {
+        const owner = this.spec(other);
+        if (!owner || !w.onIt(other)) continue;
+        if (owner.crew === job.crew) used += owner.cpus;
+        if (owner === job) yards.add(w.yard);
+      }
+    }
+    const limit = TEAMS.find((t) => t.name === job.crew)?.cpus_max ?? 0;
+    if (used > limit) this.broken.push(`quota: ${job.crew} uses ${used} at ${this.time.now}`);
+    if (!job.loaners && worker.loaners) this.broken.push(`wrong_place: ${piece} on a spot machine`);
+    if (job.together && yards.size > 1) this.broken.push(`wrong_place: ${piece} apart from its job`);
+    if (job.cancelledAt !== null && this.time.now > job.cancelledAt + CANCEL_MS) {
+      this.broken.push(`ran_cancelled: ${piece} at ${this.time.now}`);
+    }
+  }
+
+  /** A user submits a job to any node that is up, until one accepts it, then polls; some cancel. */
+  submit(n: number): void {
+    const team = TEAMS[this.pick(TEAMS.length)] as (typeof TEAMS)[number];
+    const job: UserJob = {
+      ref: `job-${String(n).padStart(6, '0')}`,
+      crew: team.name,
+      pieces: 1 + this.pick(12),
+      cpus: 1 + this.pick(2),
+      loaners: this.pick(4) > 0,
+      together: this.pick(3) === 0,
+      accepted: false,
+      final: null,
+      cancelledAt: null,
+      asked: false,
+    };
+    this.jobs.push(job);
+    const { ref, crew, pieces, cpus, loaners, together } = job;
+    const body = {
+      ...{ ref, workload: 'w', crew, shape: 'sweep', urgency: this.pick(2) ? 'normal' : 'urgent', pieces, cpus },
+      ...{ accelerators: 0, memory_gb: 2, build: `img-${this.pick(2)}`, image_gb: 1, models: null, yard: null },
+      ...{ together, apart: false, loaners, expected_s: 6, snapshot_every_s: 0, snapshot_s: 0, due_s: null },
+    };
+    const attempt = (): void => {
+      void this.controller().runs.submit(body).then((answer) => {
+        if (answer.status === 400 || answer.status === 422) this.broken.push(`forgotten: ${ref} got ${answer.status}`);
+        if (answer.status !== 200 && answer.status !== 201) return void this.time.at(this.time.now + 1000, attempt);
+        job.accepted = true;
+        this.poll(job);
+        if (this.pick(6) === 0) this.time.at(this.time.now + this.pick(15_000), () => this.cancel(job));
+      });
+    };
+    attempt();
+  }
+
+  private controller(): Controller {
+    const up = this.nodes.filter((n) => n.up && n.controller);
+    // With all nodes down the user meets the next one to start.
+    const node = up.length > 0 ? (up[this.pick(up.length)] as Node) : (this.nodes[0] as Node);
+    return node.controller ?? deadController;
+  }
+
+  private poll(job: UserJob): void {
+    void this.controller().runs.status(job.ref).then((answer) => {
+      if (answer.status === 404) this.broken.push(`forgotten: ${job.ref} at ${this.time.now}`);
+      if (answer.status === 200) this.told(job, (answer.body as { status: string }).status);
+    });
+    if (this.time.now < 400_000) this.time.at(this.time.now + 1500, () => this.poll(job));
+  }
+
+  private told(job: UserJob, status: string): void {
+    if (job.final !== null && status !== job.final) {
+      this.broken.push(`went_back: ${job.ref} from ${job.final} to ${status} at ${this.time.now}`);
+    }
+    if (status === 'aborted' && !job.asked) this.broken.push(`went_back: ${job.ref} aborted by nobody`);
+    if (status === 'done') {
+      for (let i = 0; i < job.pieces; i++) {
+        if (!this.completed.has(`${job.ref}/${i}`)) this.broken.push(`not_done: ${job.ref}/${i}`);
+      }
+    }
+    if (status === 'done' || status === 'aborted') job.final = status;
+  }
+
+  private cancel(job: UserJob): void {
+    job.asked = true;
+    void this.controller().runs.cancel(job.ref).then((answer) => {
+      if (answer.status !== 200) return void this.time.at(this.time.now + 1000, () => this.cancel(job));
+      const { status } = answer.body as { status: string };
+      this.told(job, status);
+      if (status === 'aborted') job.cancelledAt ??= this.time.now;
+    });
+  }
+
+  async run(end: number): Promise<void> {
+    await settle();
+    await this.time.run(end);
+  }
+}
+
+const refused = { status: 503, body: {}, retryAfter: 1 };
+const deadController = {
+  runs: {
+    submit: () => Promise.resolve(refused),
+    status: () => Promise.resolve(refused),
+    cancel: () => Promise.resolve(refused),
+  },
+} as unknown as Controller;
