--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -18,4 +18,5 @@
   js.configs.recommended,
   ...tseslint.configs.strict,
   ...layerRules,
+  { files: ['test/**/*.ts'], rules: { '@typescript-eslint/no-non-null-assertion': 'off' } },
 );
--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -139,7 +139,8 @@
     for (const m of [...idle]) {
       const type = picture.types.get(m.type);
       if (missing <= 0 || tasks <= 0) break;
-      if (!type || m.part === part.load.part || !suits(demand, { type, zone: m.zone, spot: m.spot })) continue;
+      if (!type || m.part === part.load.part || !suits(demand, { type, zone: m.zone, spot: m.spot }))
+        continue;
       idle.splice(idle.indexOf(m), 1);
       actions.push({ kind: 'move', machine: m.id, fromPart: m.part, toPart: part.load.part, drain: false });
       const taken = add(part, m.id, type, m.zone, m.spot, demand, tasks);
@@ -255,7 +256,8 @@
   actions: FleetAction[],
 ): void {
   for (const part of views) {
-    if (part.demands.length > 0 || picture.machines.some((m) => m.part === part.load.part && m.booting)) continue;
+    if (part.demands.length > 0 || picture.machines.some((m) => m.part === part.load.part && m.booting))
+      continue;
     const running = part.supply.filter((s) => (loadOf.get(s.id)?.tasks ?? 0) > 0);
     const free = running.reduce((sum, s) => sum + s.free.cpus, 0);
     let worst: Supply | null = null;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -63,8 +63,15 @@
       clock.steady(),
     );
     this.member = new Member(settings.member, this.ledger, clock, log, this.truce, () => this.reconcile());
-    this.leader = new Leader(settings, this.member, this.ledger, wiring.cloud, clock, log, this.truce, (to, message) =>
-      this.sendTo(to, message),
+    this.leader = new Leader(
+      settings,
+      this.member,
+      this.ledger,
+      wiring.cloud,
+      clock,
+      log,
+      this.truce,
+      (to, message) => this.sendTo(to, message),
     );
     const teams = new Map(settings.teams.map((t) => [t.name, t]));
     this.runs = new Runs(this.ledger, clock, teams, () => this.types());
@@ -94,10 +101,12 @@
     if (change.key.startsWith(`${PREFIX}machine/`)) {
       const id = change.key.slice(`${PREFIX}machine/`.length);
       const record = change.value as MachineRecord;
-      for (const part of this.parts.values()) part.tell({ kind: 'machine', id, record, version: change.version });
+      for (const part of this.parts.values())
+        part.tell({ kind: 'machine', id, record, version: change.version });
     } else if (change.key.startsWith(`${PREFIX}pipeline/`)) {
       const record = change.value as PipelineRecord;
-      for (const part of this.parts.values()) part.tell({ kind: 'pipeline', record, version: change.version });
+      for (const part of this.parts.values())
+        part.tell({ kind: 'pipeline', record, version: change.version });
     } else if (change.key === keys.catalog) {
       this.recordedTypes = new Map((change.value as MachineType[]).map((t) => [t.name, t]));
     }
@@ -141,7 +150,8 @@
       version,
       teams,
       () => this.types(),
-      (ref) => (this.ledger.entries.get(keys.pipeline(ref))?.value as PipelineRecord | undefined)?.jobs[0]?.spec,
+      (ref) =>
+        (this.ledger.entries.get(keys.pipeline(ref))?.value as PipelineRecord | undefined)?.jobs[0]?.spec,
       { reportMs: settings.reportMs, leaseMs: settings.leaseMs, valueBytes: settings.store.valueBytes },
     );
     const actor = new PartActor(
@@ -240,7 +250,8 @@
       }
       case 'move':
       case 'retire': {
-        const record = this.ledger.entries.get(keys.machine(message.machine))?.value as MachineRecord | undefined;
+        const record = this.ledger.entries.get(keys.machine(message.machine))?.value as
+          MachineRecord | undefined;
         if (record) this.parts.get(record.part)?.tell(message);
       }
     }
@@ -260,7 +271,8 @@
       incarnation: this.member.incarnation,
     };
     if (leader === this.settings.member) this.take({ ...status, parts });
-    for (const { member: peer } of this.settings.peers) this.sendTo(peer, { ...status, parts: peer === leader ? parts : [] });
+    for (const { member: peer } of this.settings.peers)
+      this.sendTo(peer, { ...status, parts: peer === leader ? parts : [] });
   }
 
   // Time, health.
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -106,7 +106,8 @@
       if ('deleted' in change && change.key.startsWith(`${PREFIX}machine/`)) {
         this.gone.add(change.key.slice(`${PREFIX}machine/`.length));
       }
-      if (change.key === keys.leader || change.key.startsWith(`${PREFIX}member/`)) this.tell({ kind: 'changed' });
+      if (change.key === keys.leader || change.key.startsWith(`${PREFIX}member/`))
+        this.tell({ kind: 'changed' });
     });
   }
 
@@ -137,7 +138,8 @@
         return;
       case 'load': {
         this.loads.set(message.load.part, { load: message.load, at: message.at });
-        for (const m of message.load.machines) if (m.silentMs >= 0) this.seenOf(m.machine, now).reported = true;
+        for (const m of message.load.machines)
+          if (m.silentMs >= 0) this.seenOf(m.machine, now).reported = true;
         return;
       }
       case 'unknown-machine':
@@ -211,8 +213,10 @@
     this.assigning = true;
     // The leader counts as holding a little already, so that parts go to the others first.
     const held = new Map([...members.keys()].map((m) => [m, m === this.member.name ? 0.5 : 0]));
-    for (const p of parts) if (held.has(p.record.owner)) held.set(p.record.owner, (held.get(p.record.owner) ?? 0) + 1);
-    const least = (): string | undefined => [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0];
+    for (const p of parts)
+      if (held.has(p.record.owner)) held.set(p.record.owner, (held.get(p.record.owner) ?? 0) + 1);
+    const least = (): string | undefined =>
+      [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0];
     try {
       if (parts.length === 0) {
         // One controller stays free of parts: it leads, and is the spare that takes over. Fewer, larger parts
@@ -260,7 +264,11 @@
     ];
     // Applied late, it must not hit an owner that has come back meanwhile.
     if (dead) conditions.push({ key: keys.member(dead), version: 0 });
-    const result = await this.ledger.txn(conditions, [{ put: keys.part(part), value: record }], Priority.Decision);
+    const result = await this.ledger.txn(
+      conditions,
+      [{ put: keys.part(part), value: record }],
+      Priority.Decision,
+    );
     this.log.info({ part, owner, dead, result: result.kind }, 'part given');
     return result.kind === 'applied';
   }
@@ -276,7 +284,10 @@
     if (!empty) return;
     const from = [...held].sort((a, b) => b[1] - a[1])[0];
     if (!from || from[1] < 2) return;
-    const part = parts.filter((p) => p.record.owner === from[0]).sort((a, b) => (a.id < b.id ? -1 : 1)).pop();
+    const part = parts
+      .filter((p) => p.record.owner === from[0])
+      .sort((a, b) => (a.id < b.id ? -1 : 1))
+      .pop();
     if (!part || now - (this.handedOver.get(part.id) ?? Number.NEGATIVE_INFINITY) < 5000) return;
     this.handedOver.set(part.id, now);
     this.sendTo(from[0], { kind: 'handover', part: part.id, to: empty });
@@ -298,7 +309,11 @@
     const machines = [];
     for (const [key, entry] of this.ledger.entries) {
       if (key.startsWith(prefix)) {
-        machines.push({ id: key.slice(prefix.length), record: entry.value as MachineRecord, version: entry.version });
+        machines.push({
+          id: key.slice(prefix.length),
+          record: entry.value as MachineRecord,
+          version: entry.version,
+        });
       }
     }
     return machines;
@@ -324,7 +339,8 @@
   }
 
   private refreshCatalog(now: number): void {
-    if (now - this.catalogAt <= (this.types.size === 0 ? 1000 : CATALOG_MS) || !this.pacer.take(now, 1)) return;
+    if (now - this.catalogAt <= (this.types.size === 0 ? 1000 : CATALOG_MS) || !this.pacer.take(now, 1))
+      return;
     this.catalogAt = now;
     void this.fetchCatalog();
   }
@@ -378,7 +394,8 @@
     for (const { id } of this.records()) {
       const seen = this.seenOf(id, now);
       // Once listed a machine stays listed until it is gone, and no list is older than twice the lag.
-      const certain = seen.firstListed !== null && at - seen.firstListed > 2.5 * this.settings.listLagMs + 500;
+      const certain =
+        seen.firstListed !== null && at - seen.firstListed > 2.5 * this.settings.listLagMs + 500;
       if (!names.has(id) && certain) void this.forget(id);
     }
   }
@@ -511,7 +528,15 @@
       const free = load.machines.reduce((sum, m) => sum + m.freeCpus, 0);
       const waiting = load.demands.map((d) => `${d.tasks}x${d.cpus}@${d.rank}`).join(' ');
       const booting = here.filter((m) => m.booting).length;
-      return { part: load.part, machines: here.length, booting, cpus, free, workLeft: Math.round(load.workLeft), waiting };
+      return {
+        part: load.part,
+        machines: here.length,
+        booting,
+        cpus,
+        free,
+        workLeft: Math.round(load.workLeft),
+        waiting,
+      };
     });
     this.log.info({ parts }, 'fleet');
   }
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -103,7 +103,13 @@
       const key = taskKey(t.ref, t.index);
       const presumed = this.tasks.get(key);
       const mine = presumed?.attempt === t.attempt ? presumed : null;
-      const exit: Exit = { ref: t.ref, index: t.index, attempt: t.attempt, reason: t.exit ?? 'other', presumed: mine };
+      const exit: Exit = {
+        ref: t.ref,
+        index: t.index,
+        attempt: t.attempt,
+        reason: t.exit ?? 'other',
+        presumed: mine,
+      };
       this.exited.set(`${key}#${t.attempt}`, exit);
       if (mine) this.tasks.delete(key);
       outcome.exits.push(exit);
--- a/src/coordination/member.ts
+++ b/src/coordination/member.ts
@@ -61,9 +61,7 @@
         const grant = this.grant;
         if (grant === null) return;
         const sentAt = this.clock.steady();
-        void this.ledger
-          .touch(grant)
-          .then((result) => this.tell({ kind: 'renewed', grant, result, sentAt }));
+        void this.ledger.touch(grant).then((result) => this.tell({ kind: 'renewed', grant, result, sentAt }));
         return;
       }
       case 'renewed':
--- a/src/coordination/part-actor.ts
+++ b/src/coordination/part-actor.ts
@@ -93,7 +93,11 @@
   private lendEmptied(): void {
     for (const { id, toPart } of this.core.emptied()) {
       const leaves = toPart === LEAVES_FLEET;
-      this.relend(id, (r) => (leaves ? { ...r, phase: 'returning', why: 'spare' } : { ...r, part: toPart }), false);
+      this.relend(
+        id,
+        (r) => (leaves ? { ...r, phase: 'returning', why: 'spare' } : { ...r, part: toPart }),
+        false,
+      );
     }
   }
 
@@ -143,7 +147,11 @@
   private async relendUntilKnown(id: string, version: number, next: MachineRecord): Promise<void> {
     const key = keys.machine(id);
     for (;;) {
-      const result = await this.ledger.txn([this.mine, { key, version }], [{ put: key, value: next }], Priority.Decision);
+      const result = await this.ledger.txn(
+        [this.mine, { key, version }],
+        [{ put: key, value: next }],
+        Priority.Decision,
+      );
       // Not executed: the machine stays. On a conflict the watch brings what happened; it stays locked till then.
       if (result.kind === 'refused') return this.tell({ kind: 'relent', machine: id, done: false });
       if (result.kind !== 'unknown') return;
@@ -161,7 +169,10 @@
       const put: Write = { put: keys.part(this.core.id), value: next };
       const result = await this.ledger.txn(conditions, [put], Priority.Decision);
       if (result.kind === 'applied') return;
-      if (result.kind === 'refused' || (result.kind === 'conflict' && !result.failed.includes(this.mine.key))) {
+      if (
+        result.kind === 'refused' ||
+        (result.kind === 'conflict' && !result.failed.includes(this.mine.key))
+      ) {
         this.released = false;
         return;
       }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -152,7 +152,8 @@
   emptied(): { id: string; toPart: string }[] {
     const found = [];
     for (const m of this.machines.values()) {
-      if (m.leavingTo !== null && m.tasks.size === 0 && !m.locked) found.push({ id: m.id, toPart: m.leavingTo });
+      if (m.leavingTo !== null && m.tasks.size === 0 && !m.locked)
+        found.push({ id: m.id, toPart: m.leavingTo });
     }
     return found;
   }
@@ -208,7 +209,9 @@
 
   /** After a take-over each open job counts as interrupted; a plain submission can always be run again. */
   private recover(job: Job): void {
-    const nodes = [{ state: 'interrupted' as const, reExecutable: true, inputsRecorded: true, alternates: [] }];
+    const nodes = [
+      { state: 'interrupted' as const, reExecutable: true, inputsRecorded: true, alternates: [] },
+    ];
     const decision = walk(nodes, [], [0]);
     if (!decision.rerun.includes(0)) job.state = 'failed';
   }
@@ -344,7 +347,10 @@
       const errors = (job.errors.get(exit.index) ?? 0) + 1;
       job.errors.set(exit.index, errors);
       // Tried again elsewhere, with growing pauses: the job is not over until its user says so.
-      job.notBefore.set(exit.index, now + Math.min(30_000, jobAtFault ? 1000 * 2 ** errors : 250 * 2 ** errors));
+      job.notBefore.set(
+        exit.index,
+        now + Math.min(30_000, jobAtFault ? 1000 * 2 ** errors : 250 * 2 ** errors),
+      );
     } else if (exit.reason === 'no_room') {
       job.notBefore.set(exit.index, now + this.options.reportMs);
     }
@@ -434,7 +440,8 @@
       const spec = this.jobs.get(task.ref)?.spec;
       if (!spec || spec.checkpointS <= 0 || task.stop || task.phase === 'planned') continue;
       // A notice may be half as long as it says; two reports may pass until the next command arrives.
-      if (left * 0.5 <= spec.saveS + (2 * this.options.reportMs) / 1000 + 1) task.stop = { graceS: spec.saveS + 1 };
+      if (left * 0.5 <= spec.saveS + (2 * this.options.reportMs) / 1000 + 1)
+        task.stop = { graceS: spec.saveS + 1 };
     }
   }
 
@@ -670,6 +677,12 @@
       const jobs = [...this.jobs.values()].filter((j) => j.spec.rank === rank);
       return { urgency: name, jobs: jobs.length, waiting: jobs.reduce((n, j) => n + j.waiting, 0) };
     });
-    return { part: this.id, machines: this.machines.size, unresolved: this.unresolved, byRank, ...this.counters };
+    return {
+      part: this.id,
+      machines: this.machines.size,
+      unresolved: this.unresolved,
+      byRank,
+      ...this.counters,
+    };
   }
 }
--- a/src/coordination/recovery.ts
+++ b/src/coordination/recovery.ts
@@ -36,7 +36,11 @@
 }
 
 /** Walks the interrupted jobs from the earliest; `order` gives the jobs in the order in which they began. */
-export function walk(nodes: readonly PipelineNode[], edges: readonly Edge[], order: readonly number[]): WalkResult {
+export function walk(
+  nodes: readonly PipelineNode[],
+  edges: readonly Edge[],
+  order: readonly number[],
+): WalkResult {
   const result: WalkResult = { rerun: [], fail: [], cancel: [], release: [], pipelineFailed: false };
   const state = nodes.map((n) => n.state);
   for (const i of order) {
--- a/src/coordination/runs.ts
+++ b/src/coordination/runs.ts
@@ -13,7 +13,8 @@
   retryAfter?: number;
 }
 
-type Found = { kind: 'job'; record: PipelineRecord; version: number } | { kind: 'absent' } | { kind: 'failed' };
+type Found =
+  { kind: 'job'; record: PipelineRecord; version: number } | { kind: 'absent' } | { kind: 'failed' };
 
 const unavailable = (error: string): UserAnswer => ({ status: 503, body: { error }, retryAfter: 1 });
 const DURABLE_MS = 3000;
@@ -49,7 +50,9 @@
     if (reason) {
       const found = await this.fresh(spec.ref);
       if (found.kind === 'job') return this.known(spec.ref);
-      return found.kind === 'absent' ? { status: 422, body: { error: reason } } : unavailable('no answer yet');
+      return found.kind === 'absent'
+        ? { status: 422, body: { error: reason } }
+        : unavailable('no answer yet');
     }
     if (this.pending >= MAX_PENDING) {
       this.counters.shed++;
@@ -116,7 +119,8 @@
   private async find(ref: string): Promise<Found> {
     const entry = this.ledger.entries.get(keys.pipeline(ref));
     const record = entry?.value as PipelineRecord | undefined;
-    if (entry && record && record.jobs[0]?.state !== 'open') return { kind: 'job', record, version: entry.version };
+    if (entry && record && record.jobs[0]?.state !== 'open')
+      return { kind: 'job', record, version: entry.version };
     return this.fresh(ref);
   }
 
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -96,7 +96,13 @@
 }
 
 export function rentalBody(request: string, order: RentalOrder): object {
-  return { hire_order: request, model: order.type, yard: order.zone, loaners: order.spot, how_many: order.count };
+  return {
+    hire_order: request,
+    model: order.type,
+    yard: order.zone,
+    loaners: order.spot,
+    how_many: order.count,
+  };
 }
 
 export function parseRental(body: unknown): string[] | null {
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -25,7 +25,11 @@
     objectives: z
       .array(z.object({ kind: z.string(), class: z.string().optional(), within_s: z.number().optional() }))
       .default([]),
-    workers: z.object({ report_s: z.number().positive(), lease_s: z.number().positive(), cancel_s: z.number() }),
+    workers: z.object({
+      report_s: z.number().positive(),
+      lease_s: z.number().positive(),
+      cancel_s: z.number(),
+    }),
     state: z.object({
       rps: z.number().positive(),
       write_rps: z.number().positive(),
--- a/src/protocol/store.ts
+++ b/src/protocol/store.ts
@@ -8,7 +8,8 @@
   lease: number | null;
 }
 
-export type Change = { key: string; value: unknown; version: number } | { key: string; deleted: true; version: number };
+export type Change =
+  { key: string; value: unknown; version: number } | { key: string; deleted: true; version: number };
 
 export interface Condition {
   key: string;
@@ -18,7 +19,12 @@
 
 export type Write = { put: string; value: unknown; lease?: number } | { remove: string };
 
-const entrySchema = z.object({ path: z.string(), v: z.unknown().optional(), stamp: z.number(), permit: z.number().nullish() });
+const entrySchema = z.object({
+  path: z.string(),
+  v: z.unknown().optional(),
+  stamp: z.number(),
+  permit: z.number().nullish(),
+});
 const revisionSchema = z.object({ ledger_rev: z.number() });
 const scanSchema = z.object({
   pairs: z.array(entrySchema),
--- a/src/storage/ledger.ts
+++ b/src/storage/ledger.ts
@@ -98,7 +98,12 @@
     return this.clock.steady() - this.lastOk < ms && this.lastOk >= this.lastRefused;
   }
 
-  async txn(conditions: Condition[], writes: Write[], priority: Priority, withinMs = 3000): Promise<TxnResult> {
+  async txn(
+    conditions: Condition[],
+    writes: Write[],
+    priority: Priority,
+    withinMs = 3000,
+  ): Promise<TxnResult> {
     const body = txnBody(conditions, writes);
     const answer = await this.ask('POST', paths.txn, body, priority, withinMs, writes.length);
     if (answer === 'expired') return { kind: 'refused' };
@@ -275,7 +280,7 @@
 
   private pump(): void {
     const now = this.clock.steady();
-    for (let i = 0; i < this.queue.length; ) {
+    for (let i = 0; i < this.queue.length;) {
       const entry = this.queue[i] as Queued;
       if (now > entry.deadline) {
         this.queue.splice(i, 1);
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -140,7 +140,13 @@
     name: 'a promise is given though the store answers',
     apply: () => {
       const real = Object.getOwnPropertyDescriptor(Truce.prototype, 'promise') as PropertyDescriptor;
-      const loose = function (this: Truce, member: string, _seen: boolean, _ok: boolean, now: number): unknown {
+      const loose = function (
+        this: Truce,
+        member: string,
+        _seen: boolean,
+        _ok: boolean,
+        now: number,
+      ): unknown {
         (real.value as Truce['promise']).call(this, member, true, false, Number.NEGATIVE_INFINITY);
         return (real.value as Truce['promise']).call(new Truce([], 0), member, true, false, now);
       };
--- /dev/null
+++ b/test/codecs.test.ts
@@ -0,0 +1,183 @@
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { parseSubmission } from '../src/protocol/jobs';
+import { decodePeer, encodePeer, type PeerMessage } from '../src/protocol/peers';
+import { decodeRanges, encodeRanges } from '../src/protocol/records';
+import { parseSettings } from '../src/protocol/settings';
+import { parseWatch } from '../src/protocol/store';
+import { parseReport, reportAnswer } from '../src/protocol/workers';
+
+const submission = {
+  ...{ ref: 'job-000412', workload: 'train', crew: 'vision', shape: 'sweep', urgency: 'urgent', pieces: 16 },
+  ...{ cpus: 8, accelerators: 1, memory_gb: 64, build: 'img-07', image_gb: 6.2, models: ['g8'], yard: null },
+  ...{ together: true, apart: false, loaners: true, expected_s: 240, snapshot_every_s: 30, snapshot_s: 4 },
+  due_s: 900,
+};
+
+test('submissions', async (t) => {
+  const cases: [string, unknown, RegExp | null][] = [
+    ['a full one', submission, null],
+    ['unknown fields are ignored', { ...submission, extra: [1] }, null],
+    ['what may be null may be left out', { ...submission, models: undefined, due_s: undefined }, null],
+    ['not an object', [submission], /not a JSON object/],
+    ['nothing', undefined, /not a JSON object/],
+    ['a string', 'job-000412', /not a JSON object/],
+    ['a missing field', { ...submission, cpus: undefined }, /^cpus: /],
+    ['a negative amount', { ...submission, memory_gb: -1 }, /^memory_gb: /],
+    ['a non-finite amount', { ...submission, cpus: Number.POSITIVE_INFINITY }, /^cpus: /],
+    ['no tasks', { ...submission, pieces: 0 }, /^pieces: /],
+    ['too many tasks', { ...submission, pieces: 100_001 }, /^pieces: /],
+    ['half a task', { ...submission, pieces: 1.5 }, /^pieces: /],
+    ['an id of another form', { ...submission, ref: 'task-1' }, /^ref: /],
+    ['an id with a slash', { ...submission, ref: 'job-1/2' }, /^ref: /],
+    ['an unknown urgency', { ...submission, urgency: 'asap' }, /^urgency: /],
+    ['an unknown shape', { ...submission, shape: 'ring' }, /^shape: /],
+    ['a text for a number', { ...submission, expected_s: '240' }, /^expected_s: /],
+  ];
+  for (const [name, body, reason] of cases) {
+    await t.test(name, () => {
+      const read = parseSubmission(body);
+      assert.equal(read.ok, reason === null);
+      if (!read.ok && reason) {
+        assert.match(read.reason, reason);
+        assert.ok(!read.reason.includes('\n'));
+      }
+    });
+  }
+});
+
+test('reports and answers keep to the wire', () => {
+  const report = {
+    ...{ velodrome: 'i-000231', address: '10.1.0.232:9000', model: 'g8', yard: 'a', loaners: true },
+    ...{ shift: 1, tick: 88, baton: 41, recall_s: null },
+    pieces: [
+      { piece: 'job-000412/3', try: 2, status: 'running' },
+      { piece: 'job-000398/0', try: 1, status: 'ended', exit_reason: 'full' },
+      { piece: 'job-000398/1', try: 1, status: 'ended', exit_reason: 'something new' },
+    ],
+  };
+  const read = parseReport(report);
+  assert.deepEqual(
+    read?.tasks.map((t) => [t.ref, t.index, t.phase, t.exit]),
+    [
+      ['job-000412', 3, 'running', null],
+      ['job-000398', 0, 'exited', 'no_room'],
+      ['job-000398', 1, 'exited', 'other'],
+    ],
+  );
+  for (const bad of [
+    null,
+    {},
+    { ...report, shift: 'x' },
+    { ...report, pieces: [{ piece: 'x', try: 1, status: 'running' }] },
+  ]) {
+    assert.equal(parseReport(bad), null);
+  }
+  const answer = reportAnswer(41, [{ op: 'stop', ref: 'job-000377', index: 1, attempt: 1, graceS: 10 }]);
+  assert.deepEqual(answer, {
+    baton: 41,
+    orders: [{ order: 'kill', piece: 'job-000377/1', try: 1, wind_down_s: 10 }],
+  });
+});
+
+// A deletion carries no value. Read as malformed, every deletion was lost and the replica stood still.
+test('a watch brings deletions', () => {
+  const read = parseWatch({
+    ledger_rev: 433,
+    news: [
+      { delete: 'c/d', stamp: 432 },
+      { set: 'c/9', v: 1, stamp: 433 },
+    ],
+  });
+  assert.deepEqual(read, {
+    revision: 433,
+    changes: [
+      { key: 'c/d', deleted: true, version: 432 },
+      { key: 'c/9', value: 1, version: 433 },
+    ],
+  });
+});
+
+test('peers understand each other, and nothing else', () => {
+  const messages: PeerMessage[] = [
+    { kind: 'pong', member: 'a', seq: 7, storeOk: false, promised: true },
+    { kind: 'move', machine: 'i-1', toPart: 'p1', drain: true },
+    { kind: 'retire', machine: 'i-1', why: 'idle', force: false },
+    { kind: 'handover', part: 'p0', to: 'b' },
+  ];
+  for (const message of messages) assert.deepEqual({ ...decodePeer(encodePeer(message)) }, message);
+  assert.equal(decodePeer(Buffer.from('GET / HTTP/1.1')), null);
+});
+
+test('progress survives being written as ranges; cut short it only forgets', () => {
+  fc.assert(
+    fc.property(
+      fc.uint8Array({ max: 1, maxLength: 300 }),
+      fc.integer({ min: 0, max: 2000 }),
+      (bits, room) => {
+        const text = encodeRanges(bits, (v) => v === 1, room);
+        assert.ok(text.length <= room);
+        const back = new Uint8Array(bits.length);
+        for (const [from, to] of decodeRanges(text)) back.fill(1, from, to + 1);
+        bits.forEach((bit, i) => assert.ok(back[i]! <= bit));
+        if (room >= 2000) assert.deepEqual(back, bits);
+      },
+    ),
+    { seed: 11 },
+  );
+});
+
+const settings = {
+  ...{
+    member: 'velodrome-0',
+    site: 'a',
+    serve_on: '10.0.0.1:8080',
+    cluster_listen: '10.0.0.1:8081',
+    peers: [],
+  },
+  external: { cloud: '10.2.0.2:8443', state: '10.2.0.1:2379' },
+  facts: {
+    teams: [{ name: 't', cpus: 1, cpus_max: 2 }],
+    workers: { report_s: 2, lease_s: 12, cancel_s: 37 },
+    state: { rps: 150, write_rps: 25, value_kb: 4, txn_ops: 12 },
+    cloud: { rps: 6, list_lag_s: 3 },
+  },
+};
+
+test('settings: the first bad one is named', () => {
+  assert.equal(parseSettings(JSON.stringify({ ...settings, later: 1 })).leaseMs, 12_000);
+  const cases: [object, RegExp][] = [
+    [{ ...settings, member: 7 }, /^member: /],
+    [{ ...settings, serve_on: 'localhost' }, /^serve_on: .*IPv4/],
+    [{ ...settings, facts: { ...settings.facts, teams: [] } }, /^facts\.teams: /],
+    [{ ...settings, external: { cloud: '1.1.1.1:1' } }, /^external\.state: /],
+  ];
+  for (const [bad, reason] of cases)
+    assert.throws(() => parseSettings(JSON.stringify(bad)), { message: reason });
+  assert.throws(() => parseSettings('{'), { message: /^not JSON/ });
+});
+
+test('the program answers for itself and refuses bad settings with code 2', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'heathbridge-'));
+  const main = join(__dirname, '..', 'src', 'main.js');
+  const run = (...args: string[]): ReturnType<typeof spawnSync> =>
+    spawnSync(process.execPath, [main, ...args], { encoding: 'utf8' });
+  try {
+    const bad = join(folder, 'bad.json');
+    writeFileSync(bad, JSON.stringify({ ...settings, facts: { ...settings.facts, cloud: { rps: 0 } } }));
+    const refused = run('--config', bad);
+    assert.equal(refused.status, 2);
+    assert.match(String(refused.stderr), /bad\.json: facts\.cloud\.rps: /);
+    assert.equal(String(refused.stderr).trim().split('\n').length, 1);
+    assert.equal(run('--config', join(folder, 'none.json')).status, 2);
+    assert.match(String(run('--version').stdout), /^\d+\.\d+\.\d+\n$/);
+    assert.match(String(run('--help').stdout), /--config <file>/);
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+});
--- /dev/null
+++ b/test/cores.test.ts
@@ -0,0 +1,342 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { Pacer } from '../src/transport/pacer';
+import { scale, type FleetMachine, type FleetPicture } from '../src/coordination/autoscale';
+import { splitTeams } from '../src/coordination/leader';
+import { fits, impossible, zoneRoom } from '../src/coordination/placement';
+import {
+  failJob,
+  mayBegin,
+  walk,
+  type Edge,
+  type NodeState,
+  type PipelineNode,
+} from '../src/coordination/recovery';
+import { PROMISE_MS, Truce } from '../src/coordination/truce';
+import { type MachineType } from '../src/protocol/cloud';
+import { type JobSpec } from '../src/protocol/jobs';
+import { type Demand, type MachineLoad, type PartLoad } from '../src/protocol/peers';
+
+function node(state: NodeState, reExecutable = true, alternates: number[] = []): PipelineNode {
+  return { state, reExecutable, inputsRecorded: true, alternates };
+}
+
+const noWalk = { rerun: [], fail: [], cancel: [], release: [], pipelineFailed: false };
+
+test('recovery walk', async (t) => {
+  const abort = (from: number, to: number): Edge => ({ from, to, kind: 'abort' });
+  const fallback = (from: number, to: number): Edge => ({ from, to, kind: 'force_begin_on_abort' });
+  const cases: [string, PipelineNode[], Edge[], object][] = [
+    ['nothing interrupted', [node('done'), node('unscheduled')], [abort(0, 1)], noWalk],
+    ['a re-executable job is run again', [node('interrupted')], [], { ...noWalk, rerun: [0] }],
+    ['any other fails', [node('interrupted', false)], [], { ...noWalk, fail: [0] }],
+    [
+      'inputs that are not recorded forbid a rerun',
+      [{ ...node('interrupted'), inputsRecorded: false }],
+      [],
+      { ...noWalk, fail: [0] },
+    ],
+    [
+      'failure passes down abort edges, link by link',
+      [node('interrupted', false), node('unscheduled'), node('interrupted')],
+      [abort(0, 1), abort(1, 2)],
+      { ...noWalk, fail: [0], cancel: [1, 2] },
+    ],
+    [
+      'a done dependent stays done, the pipeline has failed',
+      [node('interrupted', false), node('done'), node('unscheduled')],
+      [abort(0, 1), abort(1, 2)],
+      { ...noWalk, fail: [0], pipelineFailed: true },
+    ],
+    [
+      'a fallback and an alternate are released once',
+      [node('interrupted', false, [1]), node('unscheduled')],
+      [fallback(0, 1)],
+      { ...noWalk, fail: [0], release: [1] },
+    ],
+    [
+      'a fallback that is itself aborted is not released',
+      [node('interrupted', false), node('unscheduled'), node('unscheduled')],
+      [fallback(0, 2), abort(0, 1), abort(1, 2)],
+      { ...noWalk, fail: [0], cancel: [1, 2] },
+    ],
+    [
+      'the earliest decides: a later interrupted job may be cancelled instead of rerun',
+      [node('interrupted', false), node('interrupted')],
+      [abort(0, 1)],
+      { ...noWalk, fail: [0], cancel: [1] },
+    ],
+  ];
+  for (const [name, nodes, edges, expected] of cases) {
+    await t.test(name, () => assert.deepEqual(walk(nodes, edges, [...nodes.keys()]), expected));
+  }
+  await t.test('a cycle of abort edges ends', () => {
+    const ring = [node('executing'), node('executing'), node('executing')];
+    const result = failJob(ring, [abort(0, 1), abort(1, 2), abort(2, 0)], 0);
+    assert.deepEqual(result.cancel, [1, 2]);
+  });
+  await t.test('a job begins after its begin-on-commit parents and its release', () => {
+    const edges: Edge[] = [{ from: 0, to: 1, kind: 'begin_on_commit' }, fallback(0, 2)];
+    const nodes = [node('executing'), node('unscheduled'), node('unscheduled')];
+    assert.equal(mayBegin(nodes, edges, 1, new Set()), false);
+    assert.equal(mayBegin([node('done'), ...nodes.slice(1)], edges, 1, new Set()), true);
+    assert.equal(mayBegin(nodes, edges, 2, new Set()), false);
+    assert.equal(mayBegin(nodes, edges, 2, new Set([2])), true);
+  });
+});
+
+const small: MachineType = {
+  ...{ name: 'small', cpus: 4, accelerators: 0, memoryGb: 16, cacheGb: 50, fetchGbPerS: 1 },
+  ...{ price: 0.2, spotPrice: 0.08, bootS: 20, zones: ['a', 'b'] },
+};
+const large: MachineType = { ...small, name: 'large', cpus: 32, memoryGb: 128, price: 1.8, spotPrice: 0.8 };
+const spec: JobSpec = {
+  ...{
+    ref: 'job-000001',
+    workload: 'w',
+    team: 't',
+    rank: 2,
+    tasks: 5,
+    cpus: 1,
+    accelerators: 0,
+    memoryGb: 2,
+  },
+  ...{ image: 'i', imageGb: 1, types: null, zone: null, together: false, apart: false, spot: true },
+  ...{ expectedS: 30, checkpointS: 0, saveS: 0, deadlineS: null },
+};
+
+test('placement', async (t) => {
+  const impossibles: [string, Partial<JobSpec>, boolean][] = [
+    ['a plain job', {}, false],
+    ['more than any type has', { memoryGb: 500 }, true],
+    ['only an unknown type', { types: ['other'] }, true],
+    ['a zone without the type', { zone: 'c' }, true],
+    ["a task over the team's limit", { cpus: 9 }, true],
+    ['an array over the limit in sum only', { tasks: 100 }, false],
+  ];
+  for (const [name, change, expected] of impossibles) {
+    await t.test(name, () => {
+      const reason = impossible({ ...spec, ...change }, [small, large], { cpus: 8, accelerators: 0 });
+      assert.equal(reason !== null, expected, String(reason));
+    });
+  }
+  const rooms: [string, Partial<JobSpec>, [string, number][], number][] = [
+    ['anywhere', {}, [['b', 9]], Number.POSITIVE_INFINITY],
+    ['together: the others are elsewhere', { together: true }, [['b', 1]], 0],
+    ['together: the others are here', { together: true }, [['a', 1]], Number.POSITIVE_INFINITY],
+    ['together: nobody left elsewhere', { together: true }, [['b', 0]], Number.POSITIVE_INFINITY],
+    ['apart: half of 5, rounded up, less 2', { apart: true }, [['a', 2]], 1],
+    ['apart: full', { apart: true }, [['a', 3]], 0],
+  ];
+  for (const [name, change, placed, expected] of rooms) {
+    await t.test(name, () => assert.equal(zoneRoom({ ...spec, ...change }, 'a', new Map(placed)), expected));
+  }
+  await t.test('never more than there is room for', () => {
+    const amount = fc.double({ min: 0.01, max: 100, noNaN: true });
+    fc.assert(
+      fc.property(amount, amount, amount, amount, (cpus, memoryGb, c, m) => {
+        const n = fits({ cpus, memoryGb, accelerators: 0 }, { cpus: c, memoryGb: m, accelerators: 0 });
+        assert.ok(n * c <= cpus + 1e-6 && n * m <= memoryGb + 1e-6);
+      }),
+      { seed: 7 },
+    );
+  });
+});
+
+function demand(change: Partial<Demand>): Demand {
+  return {
+    ...{ cpus: 1, accelerators: 0, memoryGb: 2, types: null, zone: null, spot: true, rank: 2 },
+    ...{ tasks: 10, seconds: 60, imageGb: 1, slackS: null, ...change },
+  };
+}
+
+function load(machine: string, change: Partial<MachineLoad> = {}): MachineLoad {
+  return {
+    ...{ machine, tasks: 0, freeCpus: 4, freeMemoryGb: 16, freeAccelerators: 0, idleMs: 0, silentMs: 100 },
+    ...{ faulty: false, noticed: false, leavingTo: null, emptyInS: 0, ...change },
+  };
+}
+
+function part(
+  id: string,
+  demands: Demand[],
+  machines: MachineLoad[],
+  change: Partial<PartLoad> = {},
+): PartLoad {
+  const backlog = demands.reduce((sum, d) => sum + d.tasks * d.cpus * d.seconds, 0);
+  return { part: id, version: 1, demands, machines, workLeft: 0, backlog, ...change };
+}
+
+function machine(id: string, change: Partial<FleetMachine> = {}): FleetMachine {
+  return {
+    ...{ id, part: 'p0', type: 'small', zone: 'a', spot: true, returning: false },
+    ...{ ageMs: 60_000, booting: false, failed: false, ...change },
+  };
+}
+
+test('autoscaling', async (t) => {
+  const picture = (change: Partial<FleetPicture>): FleetPicture => ({
+    ...{ types: new Map([small, large].map((m) => [m.name, m])), loads: [], machines: [] },
+    ...{ soldOut: () => false, leaseMs: 12_000, ...change },
+  });
+  const busy = { tasks: 4, freeCpus: 0, freeMemoryGb: 8, emptyInS: 60 };
+  const cases: [string, Partial<FleetPicture>, (actions: ReturnType<typeof scale>) => boolean][] = [
+    ['nothing to do', { loads: [part('p0', [], [])] }, (a) => a.length === 0],
+    [
+      'spot machines for waiting work',
+      { loads: [part('p0', [demand({})], [])] },
+      (a) => a.length > 0 && a.every((x) => x.kind === 'rent' && x.order.spot),
+    ],
+    [
+      // A job that allows no spot machine once waited for ever, as ordinary ones needed a long queue.
+      'one task that allows no spot machine gets an ordinary one at once',
+      { loads: [part('p0', [demand({ tasks: 1, spot: false })], [])] },
+      (a) => a.length === 1 && a[0]?.kind === 'rent' && !a[0].order.spot,
+    ],
+    [
+      'ordinary ones when spot is sold out and nothing else can run the work',
+      { loads: [part('p0', [demand({})], [])], soldOut: (k) => k.spot },
+      (a) => a.length > 0 && a.every((x) => x.kind === 'rent' && !x.order.spot),
+    ],
+    [
+      'machines that are booting count',
+      {
+        loads: [part('p0', [demand({ tasks: 4 })], [])],
+        machines: [machine('i-1', { booting: true, ageMs: 5000 })],
+      },
+      (a) => a.length === 0,
+    ],
+    [
+      'one that never boots is returned',
+      { loads: [part('p0', [], [])], machines: [machine('i-1', { booting: true, ageMs: 90_000 })] },
+      (a) => a.length === 1 && a[0]?.kind === 'retire' && a[0].force,
+    ],
+    [
+      'an idle machine of another part moves instead of a rental',
+      {
+        loads: [part('p0', [], [load('i-1')]), part('p1', [demand({ tasks: 4 })], [])],
+        machines: [machine('i-1')],
+      },
+      (a) => a.length === 1 && a[0]?.kind === 'move' && a[0].toPart === 'p1' && !a[0].drain,
+    ],
+    [
+      'a machine that fails every task is returned though it is busy',
+      { loads: [part('p0', [], [load('i-1', { ...busy, faulty: true })])], machines: [machine('i-1')] },
+      (a) => a.some((x) => x.kind === 'retire' && x.force),
+    ],
+    [
+      'one idle for long is returned, one just emptied is kept',
+      {
+        loads: [part('p0', [], [load('i-1', { idleMs: 60_000 }), load('i-2', { idleMs: 500 })])],
+        machines: [machine('i-1'), machine('i-2')],
+      },
+      (a) => a.length === 1 && a[0]?.kind === 'retire' && a[0].machine === 'i-1',
+    ],
+    [
+      'a part with little work lends what empties soon, when nothing can be rented',
+      {
+        loads: [
+          part('p0', [], [load('i-1', { ...busy, emptyInS: 5 }), load('i-2', busy)], { workLeft: 100 }),
+          part('p1', [demand({ tasks: 200 })], [load('i-3', busy)]),
+        ],
+        machines: [machine('i-1'), machine('i-2'), machine('i-3', { part: 'p1' })],
+        soldOut: () => true,
+      },
+      (a) => a.length === 1 && a[0]?.kind === 'move' && a[0].machine === 'i-1' && a[0].drain,
+    ],
+    [
+      'a drain that the work since has made wrong is taken back',
+      {
+        loads: [
+          part('p0', [demand({ tasks: 200 })], [load('i-1', { ...busy, leavingTo: 'p1' })]),
+          part('p1', [], [load('i-3', busy)]),
+        ],
+        machines: [machine('i-1'), machine('i-3', { part: 'p1' })],
+        soldOut: () => true,
+      },
+      (a) => a.some((x) => x.kind === 'move' && x.machine === 'i-1' && x.toPart === 'p0'),
+    ],
+  ];
+  for (const [name, change, expected] of cases) {
+    await t.test(name, () => {
+      const actions = scale(picture(change));
+      assert.ok(expected(actions), JSON.stringify(actions));
+    });
+  }
+});
+
+test('truce', async (t) => {
+  const promisedAt = 10_000;
+  const truce = new Truce(['b', 'c'], 0);
+  const cases: [string, () => unknown, unknown][] = [
+    ['no promise while the store answers', () => truce.promise('b', true, true, promisedAt), false],
+    [
+      'none to a member whose grant has ended for us',
+      () => truce.promise('b', false, false, promisedAt),
+      false,
+    ],
+    ['else it is given', () => truce.promise('b', true, false, promisedAt), true],
+    ['and kept', () => truce.mayTakeFrom('b', promisedAt + PROMISE_MS), false],
+    ['until it has run out', () => truce.mayTakeFrom('b', promisedAt + PROMISE_MS + 10), true],
+    ['others are not covered', () => truce.mayTakeFrom('c', promisedAt), true],
+    [
+      'a process that has just started sits out what it may have promised before',
+      () => new Truce(['b'], 50_000).mayTakeFrom('b', 50_000 + PROMISE_MS),
+      false,
+    ],
+    [
+      "one peer's promise is not enough",
+      () => {
+        truce.answered('b', truce.ask(20_000), true);
+        return truce.holds(20_001);
+      },
+      false,
+    ],
+    [
+      'all of them are, counted from the asking',
+      () => {
+        const seq = truce.ask(20_000);
+        truce.answered('b', seq, true);
+        truce.answered('c', seq, true);
+        return [truce.holds(22_600), truce.holds(22_800)];
+      },
+      [true, false],
+    ],
+    [
+      'an answer to a question long forgotten counts nothing',
+      () => {
+        const old = truce.ask(30_000);
+        for (let i = 0; i < 20; i++) truce.ask(31_000);
+        truce.answered('b', old, true);
+        truce.answered('c', old, true);
+        return truce.holds(30_001);
+      },
+      false,
+    ],
+  ];
+  for (const [name, act, expected] of cases) await t.test(name, () => assert.deepEqual(act(), expected));
+});
+
+test('teams are split by what they are guaranteed', () => {
+  const team = (name: string, cpus: number): Parameters<typeof splitTeams>[0][number] => ({
+    ...{ name, guaranteed: { cpus, accelerators: 0 }, limit: { cpus, accelerators: 0 } },
+  });
+  const teams = [team('a', 88), team('b', 40), team('c', 72), team('d', 56)];
+  assert.deepEqual(splitTeams(teams, 2), [
+    ['a', 'b'],
+    ['c', 'd'],
+  ]);
+  assert.deepEqual(splitTeams(teams.slice(0, 1), 3), [['a']]);
+});
+
+test('a pacer keeps its rate, and its reserve for what is urgent', () => {
+  const pacer = new Pacer(10, 5);
+  assert.equal(pacer.take(0, 5), true);
+  assert.equal(pacer.take(0, 1), false);
+  assert.equal(pacer.take(100, 1), true);
+  assert.equal(pacer.take(400, 1, 3), false);
+  assert.equal(pacer.take(400, 1), true);
+  pacer.drain(500);
+  assert.equal(pacer.take(500, 1), false);
+});
--- /dev/null
+++ b/test/part.test.ts
@@ -0,0 +1,313 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { PartCore } from '../src/coordination/part';
+import { type MachineType } from '../src/protocol/cloud';
+import { type JobSpec } from '../src/protocol/jobs';
+import { type MachineRecord, type PipelineRecord } from '../src/protocol/records';
+import { type Command, type Report, type ReportedTask } from '../src/protocol/workers';
+
+const VERSION = 100;
+const OLD = 50;
+const FRESH = 150;
+
+const type: MachineType = {
+  ...{ name: 'small', cpus: 4, accelerators: 0, memoryGb: 16, cacheGb: 50, fetchGbPerS: 1 },
+  ...{ price: 0.2, spotPrice: 0.08, bootS: 20, zones: ['a', 'b'] },
+};
+
+function spec(ref: string, change: Partial<JobSpec> = {}): JobSpec {
+  return {
+    ...{ ref, workload: 'w', team: 't', rank: 2, tasks: 2, cpus: 1, accelerators: 0, memoryGb: 2 },
+    ...{ image: 'i', imageGb: 1, types: null, zone: null, together: false, apart: false, spot: true },
+    ...{ expectedS: 30, checkpointS: 0, saveS: 0, deadlineS: null, ...change },
+  };
+}
+
+function record(job: JobSpec, state: 'open' | 'done' | 'cancelled' = 'open', done = ''): PipelineRecord {
+  return {
+    accepted: '2026-01-01T00:00:00.000Z',
+    jobs: [{ spec: job, state, done, doneCount: 0, running: 0 }],
+  };
+}
+
+/** A part with the worker's side of the conversation. */
+class Bench {
+  readonly core: PartCore;
+  private seq = 0;
+  readonly known = new Map<string, JobSpec>();
+
+  constructor(limit = 8) {
+    const team = {
+      name: 't',
+      guaranteed: { cpus: 4, accelerators: 0 },
+      limit: { cpus: limit, accelerators: 0 },
+    };
+    const options = { reportMs: 2000, leaseMs: 12_000, valueBytes: 4096 };
+    this.core = new PartCore(
+      'p0',
+      VERSION,
+      [team],
+      () => new Map([['small', type]]),
+      (r) => this.known.get(r),
+      options,
+    );
+  }
+
+  machine(id: string, version: number, change: Partial<MachineRecord> = {}): void {
+    const row: MachineRecord = { part: 'p0', phase: 'kept', type: 'small', zone: 'a', spot: true, ...change };
+    this.core.putMachine(id, row, version, 0);
+  }
+
+  job(job: JobSpec, version = FRESH, state: 'open' | 'done' | 'cancelled' = 'open', done = ''): void {
+    this.known.set(job.ref, job);
+    this.core.putPipeline(record(job, state, done), version);
+  }
+
+  report(id: string, now: number, tasks: ReportedTask[] = [], change: Partial<Report> = {}): Command[] {
+    const report: Report = {
+      ...{ machine: id, address: 'x', type: 'small', zone: 'a', spot: true, session: 1, seq: ++this.seq },
+      ...{ token: 1000, noticeS: null, tasks, ...change },
+    };
+    return this.core.report(report, now)?.commands ?? [];
+  }
+}
+
+function starts(commands: Command[]): string[] {
+  return commands.filter((c) => c.op === 'start').map((c) => `${c.ref}/${c.index}`);
+}
+
+function shown(
+  command: Command,
+  phase: ReportedTask['phase'],
+  exit: ReportedTask['exit'] = null,
+): ReportedTask {
+  return { ref: command.ref, index: command.index, attempt: command.attempt, phase, exit };
+}
+
+const cases: [string, (b: Bench) => void][] = [
+  [
+    'tasks start in arrival order up to what fits',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 6 }));
+      assert.equal(starts(b.report('m', 0)).length, 4);
+    },
+  ],
+  [
+    'the more urgent go first, whenever they came',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 4 }));
+      b.job(spec('job-2', { tasks: 3, rank: 1 }));
+      assert.deepEqual(starts(b.report('m', 0)).sort(), ['job-1/0', 'job-2/0', 'job-2/1', 'job-2/2']);
+    },
+  ],
+  [
+    "a team's limit holds over all machines",
+    (b) => {
+      for (const id of ['m', 'n', 'o']) b.machine(id, FRESH);
+      b.job(spec('job-1', { tasks: 20 }));
+      const n = ['m', 'n', 'o'].map((id) => starts(b.report(id, 0)).length);
+      assert.equal(n[0]! + n[1]! + n[2]!, 8);
+    },
+  ],
+  [
+    'a start is given again only after a newer report without it',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 1 }));
+      assert.equal(starts(b.report('m', 0)).length, 1);
+      const late = b.report('m', 100, [], { seq: 1 });
+      assert.deepEqual(late, [], 'a late copy of the report answered says nothing');
+      assert.equal(starts(b.report('m', 2000)).length, 1);
+    },
+  ],
+  [
+    'a machine taken over is given nothing before it has seen the new token',
+    (b) => {
+      b.machine('m', OLD);
+      b.job(spec('job-1'));
+      assert.deepEqual(starts(b.report('m', 0, [], { token: OLD })), []);
+      assert.equal(starts(b.report('m', 500, [], { token: VERSION })).length, 2);
+    },
+  ],
+  [
+    'while one machine is silent, earlier jobs wait and new ones run',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('silent', OLD);
+      b.job(spec('job-1'), OLD);
+      b.job(spec('job-2'));
+      assert.deepEqual(starts(b.report('m', 0)), ['job-2/0', 'job-2/1']);
+      b.core.tick(12_000);
+      const early = starts(b.report('m', 12_100));
+      assert.ok(!early.some((s) => s.startsWith('job-1/')), 'the lease may not have run out yet');
+      b.core.tick(13_000);
+      assert.ok(starts(b.report('m', 13_100)).includes('job-1/0'));
+    },
+  ],
+  [
+    'a silent machine counts against the limit as if it were full',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('n', FRESH);
+      b.machine('silent', OLD);
+      b.job(spec('job-2', { tasks: 20 }));
+      assert.equal(starts(b.report('m', 0)).length + starts(b.report('n', 0)).length, 4);
+    },
+  ],
+  [
+    'live tasks are adopted, not started again',
+    (b) => {
+      b.machine('m', OLD);
+      b.machine('n', FRESH);
+      b.job(spec('job-1'), OLD);
+      const live: ReportedTask = { ref: 'job-1', index: 0, attempt: 7, phase: 'running', exit: null };
+      b.report('m', 0, [live], { token: OLD });
+      assert.deepEqual(starts(b.report('m', 500, [live])), ['job-1/1']);
+      assert.deepEqual(starts(b.report('n', 600)), []);
+    },
+  ],
+  [
+    'a refused start beside the live attempt leaves the task where it is',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('n', FRESH);
+      b.job(spec('job-1', { tasks: 1 }));
+      const [start] = b.report('m', 0);
+      assert.ok(start);
+      const live: ReportedTask = { ...shown(start, 'running'), attempt: 3 };
+      b.report('m', 2000, [live, shown(start, 'exited', 'busy')]);
+      assert.deepEqual(starts(b.report('n', 2100)), []);
+    },
+  ],
+  [
+    'a new session ends what was there',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 1 }));
+      const [start] = b.report('m', 0);
+      assert.ok(start);
+      b.report('m', 2000, [shown(start, 'running')]);
+      assert.equal(starts(b.report('m', 20_000, [], { session: 2, seq: 1 })).length, 1);
+    },
+  ],
+  [
+    'an exit is forgotten only once its outcome is durable, and done is told once all are',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 1 }));
+      const [start] = b.report('m', 0);
+      assert.ok(start);
+      assert.deepEqual(b.report('m', 2000, [shown(start, 'exited', 'done')]), []);
+      const [write] = b.core.writes(2000, 2000);
+      assert.equal(write?.final, true);
+      assert.equal(write?.record.jobs[0]?.state, 'done');
+      b.core.written(write!, 200);
+      assert.equal(b.report('m', 4000, [shown(start, 'exited', 'done')])[0]?.op, 'forget');
+    },
+  ],
+  [
+    'a cancelled job: nothing starts, what runs is stopped and counts until it is gone',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('n', FRESH);
+      b.job(spec('job-1', { tasks: 4 }));
+      const commands = b.report('m', 0);
+      b.report(
+        'm',
+        1000,
+        commands.map((c) => shown(c, 'running')),
+      );
+      b.job(spec('job-1', { tasks: 4 }), FRESH + 1, 'cancelled');
+      b.job(spec('job-2', { tasks: 8 }));
+      assert.equal(starts(b.report('n', 1500)).length, 4, 'limit 8, 4 still out');
+      const stops = b.report(
+        'm',
+        2000,
+        commands.map((c) => shown(c, 'running')),
+      );
+      assert.deepEqual(new Set(stops.map((c) => c.op)), new Set(['stop']));
+    },
+  ],
+  [
+    'a task that fails is tried again after a pause, and a machine where all fail gets no more',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 8 }));
+      let now = 0;
+      let commands = b.report('m', now);
+      assert.equal(commands.length, 4);
+      commands = b.report(
+        'm',
+        (now += 2000),
+        commands.map((c) => shown(c, 'exited', 'error')),
+      );
+      assert.deepEqual(starts(commands), []);
+      assert.equal(b.core.load(now, 0).machines[0]?.faulty, true);
+      b.machine('n', FRESH);
+      assert.equal(starts(b.report('n', (now += 2000))).length, 4);
+    },
+  ],
+  [
+    'a machine that is gone gives its tasks back',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('n', FRESH);
+      b.job(spec('job-1', { tasks: 2 }));
+      b.report('m', 0);
+      assert.deepEqual(starts(b.report('n', 0)), []);
+      b.core.dropMachine('m');
+      assert.equal(starts(b.report('n', 2000)).length, 2);
+    },
+  ],
+  [
+    'together: all in the zone of the first',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('n', FRESH, { zone: 'b' });
+      b.job(spec('job-1', { tasks: 6, together: true }));
+      assert.equal(starts(b.report('m', 0)).length, 4);
+      assert.deepEqual(starts(b.report('n', 10)), []);
+    },
+  ],
+  [
+    'a notice: nothing new, and what can save is told to in time',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 1, checkpointS: 30, saveS: 3 }));
+      const [start] = b.report('m', 0);
+      assert.ok(start);
+      b.job(spec('job-2', { tasks: 1 }));
+      const far = b.report('m', 2000, [shown(start, 'running')], { noticeS: 60 });
+      assert.deepEqual(far, []);
+      const near = b.report('m', 4000, [shown(start, 'running')], { noticeS: 14 });
+      assert.deepEqual(near, [{ op: 'stop', ref: 'job-1', index: 0, attempt: start.attempt, graceS: 4 }]);
+      assert.deepEqual(b.report('m', 5000, [shown(start, 'saving')], { noticeS: 13 }), [], 'not cut short');
+    },
+  ],
+  [
+    'recorded progress is not run again',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 4 }), OLD, 'open', '0-1,3');
+      assert.deepEqual(starts(b.report('m', 0)), ['job-1/2']);
+    },
+  ],
+  [
+    'an emptied machine is given to the part that waits for it, unless that is taken back',
+    (b) => {
+      b.machine('m', FRESH);
+      b.core.drainTo('m', 'p1');
+      assert.deepEqual(b.core.emptied(), [{ id: 'm', toPart: 'p1' }]);
+      b.job(spec('job-1'));
+      assert.deepEqual(starts(b.report('m', 0)), []);
+      b.core.drainTo('m', 'p0');
+      assert.equal(starts(b.report('m', 2000)).length, 2);
+    },
+  ],
+];
+
+test('a part', async (t) => {
+  for (const [name, run] of cases) await t.test(name, () => run(new Bench()));
+});
--- a/test/standin/fleet.ts
+++ b/test/standin/fleet.ts
@@ -142,7 +142,8 @@
       return;
     }
     if (order.order === 'kill') {
-      if (known && known.try === order.try && known.status !== 'ended') this.exit(order.piece, known, 'stopped');
+      if (known && known.try === order.try && known.status !== 'ended')
+        this.exit(order.piece, known, 'stopped');
       return;
     }
     if (known && known.status !== 'ended') return;
@@ -230,7 +231,14 @@
     if (this.down) return answer(503, { error: 'trouble' });
     if (path === '/catalog') {
       const models = this.kinds.map((k) => ({
-        ...{ label: k.label, cpus: k.cpus, accelerators: 0, memory_gb: k.memory, local_gb: 50, fetch_gb_per_s: 1 },
+        ...{
+          label: k.label,
+          cpus: k.cpus,
+          accelerators: 0,
+          memory_gb: k.memory,
+          local_gb: 50,
+          fetch_gb_per_s: 1,
+        },
         ...{ rate: k.cpus * 0.05, spot_price: k.cpus * 0.02, ready_s: this.bootMs / 1000, yards: this.yards },
       }));
       return answer(200, { models });
@@ -245,7 +253,10 @@
     return answer(200, shown?.body ?? { velodromes: [], truncated: false });
   }
 
-  private rent(order: Rental, answer: (status: number, content: unknown) => Promise<HttpAnswer>): Promise<HttpAnswer> {
+  private rent(
+    order: Rental,
+    answer: (status: number, content: unknown) => Promise<HttpAnswer>,
+  ): Promise<HttpAnswer> {
     const repeated = this.requests.get(order.hire_order);
     if (repeated) return answer(200, { velodromes: repeated });
     const room = this.capacity - this.workers.size - this.booting.size;
@@ -259,7 +270,11 @@
   }
 
   private list(): object {
-    const row = (ref: string, m: { model: string; yard: string; loaners: boolean }, status: string): object => ({
+    const row = (
+      ref: string,
+      m: { model: string; yard: string; loaners: boolean },
+      status: string,
+    ): object => ({
       ...{ ref, address: '10.1.0.1:9000', model: m.model, yard: m.yard, loaners: m.loaners, status },
       age_s: (this.time.now - (this.since.get(ref) ?? 0)) / 1000,
     });
--- a/test/standin/store.ts
+++ b/test/standin/store.ts
@@ -52,7 +52,9 @@
     if (url.pathname === '/watch') return this.watch(url, refused);
     if (method === 'GET' && url.pathname === '/store') {
       const prefix = url.searchParams.get('prefix') ?? '';
-      const pairs = [...this.keys].filter(([key]) => key.startsWith(prefix)).sort(([a], [b]) => (a < b ? -1 : 1));
+      const pairs = [...this.keys]
+        .filter(([key]) => key.startsWith(prefix))
+        .sort(([a], [b]) => (a < b ? -1 : 1));
       const shown = pairs.map(([key, e]) => ({ path: key, v: e.v, stamp: e.stamp }));
       return answer(200, { pairs: shown, truncated: false, ledger_rev: this.revision });
     }
@@ -82,7 +84,8 @@
     answer: (status: number, content: unknown) => Promise<HttpAnswer>,
   ): Promise<HttpAnswer> {
     for (const op of body.apply) {
-      if ('set' in op && op.permit != null && !this.grants.has(op.permit)) return answer(400, { error: 'no such lease' });
+      if ('set' in op && op.permit != null && !this.grants.has(op.permit))
+        return answer(400, { error: 'no such lease' });
     }
     const failed = body.if.filter((c) => (this.keys.get(c.path)?.stamp ?? 0) !== c.stamp).map((c) => c.path);
     if (failed.length > 0) return answer(409, { failed, ledger_rev: this.revision });
@@ -129,7 +132,9 @@
         if (this.down || refused()) return;
         const news = this.changes
           .filter((c) => c.stamp > after && c.path.startsWith(prefix))
-          .map((c) => (c.deleted ? { delete: c.path, stamp: c.stamp } : { set: c.path, v: c.v, stamp: c.stamp }));
+          .map((c) =>
+            c.deleted ? { delete: c.path, stamp: c.stamp } : { set: c.path, v: c.v, stamp: c.stamp },
+          );
         if (news.length === 0 && this.time.now < end) return;
         this.watchers.delete(look);
         const body = JSON.parse(JSON.stringify({ ledger_rev: this.revision, news })) as unknown;
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -103,8 +103,15 @@
     node.up = true;
     const life: { controller: Controller | null } = { controller: null };
     const isUp = (): boolean => node.up && node.controller === life.controller;
-    const call = (method: string, path: string, body: unknown, timeoutMs: number): Promise<HttpAnswer | null> =>
-      this.overNetwork(timeoutMs, isUp, () => this.store.request(method, path, body, () => node.storeRefused));
+    const call = (
+      method: string,
+      path: string,
+      body: unknown,
+      timeoutMs: number,
+    ): Promise<HttpAnswer | null> =>
+      this.overNetwork(timeoutMs, isUp, () =>
+        this.store.request(method, path, body, () => node.storeRefused),
+      );
     const controller = new Controller(
       parseSettings(settingsOf(i)),
       this.time.clock(isUp, 1 + (i - 1) * 0.0004),
@@ -154,7 +161,9 @@
       const delay = late ? 2000 + this.pick(6000) : 2 + this.pick(6);
       this.time.at(this.time.now + timeoutMs, () => resolve(null));
       this.time.at(this.time.now + delay, () => {
-        void act().then((answer) => this.time.at(this.time.now + 2, () => (isUp() ? resolve(answer) : undefined)));
+        void act().then((answer) =>
+          this.time.at(this.time.now + 2, () => (isUp() ? resolve(answer) : undefined)),
+        );
       });
     });
   }
@@ -235,18 +244,37 @@
     this.jobs.push(job);
     const { ref, crew, pieces, cpus, loaners, together } = job;
     const body = {
-      ...{ ref, workload: 'w', crew, shape: 'sweep', urgency: this.pick(2) ? 'normal' : 'urgent', pieces, cpus },
-      ...{ accelerators: 0, memory_gb: 2, build: `img-${this.pick(2)}`, image_gb: 1, models: null, yard: null },
+      ...{
+        ref,
+        workload: 'w',
+        crew,
+        shape: 'sweep',
+        urgency: this.pick(2) ? 'normal' : 'urgent',
+        pieces,
+        cpus,
+      },
+      ...{
+        accelerators: 0,
+        memory_gb: 2,
+        build: `img-${this.pick(2)}`,
+        image_gb: 1,
+        models: null,
+        yard: null,
+      },
       ...{ together, apart: false, loaners, expected_s: 6, snapshot_every_s: 0, snapshot_s: 0, due_s: null },
     };
     const attempt = (): void => {
-      void this.controller().runs.submit(body).then((answer) => {
-        if (answer.status === 400 || answer.status === 422) this.broken.push(`forgotten: ${ref} got ${answer.status}`);
-        if (answer.status !== 200 && answer.status !== 201) return void this.time.at(this.time.now + 1000, attempt);
-        job.accepted = true;
-        this.poll(job);
-        if (this.pick(6) === 0) this.time.at(this.time.now + this.pick(15_000), () => this.cancel(job));
-      });
+      void this.controller()
+        .runs.submit(body)
+        .then((answer) => {
+          if (answer.status === 400 || answer.status === 422)
+            this.broken.push(`forgotten: ${ref} got ${answer.status}`);
+          if (answer.status !== 200 && answer.status !== 201)
+            return void this.time.at(this.time.now + 1000, attempt);
+          job.accepted = true;
+          this.poll(job);
+          if (this.pick(6) === 0) this.time.at(this.time.now + this.pick(15_000), () => this.cancel(job));
+        });
     };
     attempt();
   }
@@ -259,10 +287,12 @@
   }
 
   private poll(job: UserJob): void {
-    void this.controller().runs.status(job.ref).then((answer) => {
-      if (answer.status === 404) this.broken.push(`forgotten: ${job.ref} at ${this.time.now}`);
-      if (answer.status === 200) this.told(job, (answer.body as { status: string }).status);
-    });
+    void this.controller()
+      .runs.status(job.ref)
+      .then((answer) => {
+        if (answer.status === 404) this.broken.push(`forgotten: ${job.ref} at ${this.time.now}`);
+        if (answer.status === 200) this.told(job, (answer.body as { status: string }).status);
+      });
     if (this.time.now < 400_000) this.time.at(this.time.now + 1500, () => this.poll(job));
   }
 
@@ -281,12 +311,14 @@
 
   private cancel(job: UserJob): void {
     job.asked = true;
-    void this.controller().runs.cancel(job.ref).then((answer) => {
-      if (answer.status !== 200) return void this.time.at(this.time.now + 1000, () => this.cancel(job));
-      const { status } = answer.body as { status: string };
-      this.told(job, status);
-      if (status === 'aborted') job.cancelledAt ??= this.time.now;
-    });
+    void this.controller()
+      .runs.cancel(job.ref)
+      .then((answer) => {
+        if (answer.status !== 200) return void this.time.at(this.time.now + 1000, () => this.cancel(job));
+        const { status } = answer.body as { status: string };
+        this.told(job, status);
+        if (status === 'aborted') job.cancelledAt ??= this.time.now;
+      });
   }
 
   async run(end: number): Promise<void> {
