--- a/src/coordination/part-actor.ts
+++ b/src/coordination/part-actor.ts
@@ -60,7 +60,7 @@
         else this.core.dropMachine(message.id);
         return;
       case 'pipeline':
-        this.core.putPipeline(message.record, message.version);
+        this.core.putPipeline(message.record, message.version, now);
         return;
       case 'tick':
         if (!this.active) return;
@@ -128,7 +128,7 @@
     this.clock.after(150, () => {
       this.core.unwritten(write);
       const known = this.ledger.entries.get(keys.pipeline(write.ref));
-      if (known) this.core.putPipeline(known.value as PipelineRecord, known.version);
+      if (known) this.core.putPipeline(known.value as PipelineRecord, known.version, this.clock.steady());
     });
   }
 
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -11,7 +11,7 @@
 import { type Quantity, type Team } from '../protocol/settings';
 import { type Command, type Report } from '../protocol/workers';
 import { MachineState, taskKey, type Exit, type Presumed } from './machine';
-import { allows, fits, zoneRoom } from './placement';
+import { allows, fits, zoneRoom, type Free } from './placement';
 import { walk } from './recovery';
 
 enum TaskState {
@@ -22,6 +22,11 @@
   Durable,
 }
 
+interface Usable {
+  machine: MachineState;
+  free: Free;
+}
+
 interface Job {
   ref: string;
   spec: JobSpec;
@@ -40,6 +45,8 @@
   errors: Map<number, number>;
   failedOn: Set<string>;
   changed: boolean;
+  /** When this owner first saw it. */
+  readySince: number;
   lastWrite: number;
   writing: boolean;
 }
@@ -63,6 +70,7 @@
 /** A job that failed on this many machines and never succeeded is taken to be at fault itself. */
 const JOB_AT_FAULT = 3;
 const STEP_BACK = 4;
+const IMAGE_PATIENCE_MS = 30_000;
 const ATTEMPTS_PER_INCARNATION = 1_000_000;
 
 /**
@@ -165,7 +173,7 @@
   // Jobs.
 
   /** A pipeline as the store has it: a new one, or one that somebody cancelled. */
-  putPipeline(record: PipelineRecord, version: number): void {
+  putPipeline(record: PipelineRecord, version: number, now: number): void {
     const jobRecord = record.jobs[0];
     if (!jobRecord || !this.owns(jobRecord.spec.team)) return;
     const ref = jobRecord.spec.ref;
@@ -199,6 +207,7 @@
       errors: new Map(),
       failedOn: new Set(),
       changed: done === tasks.length,
+      readySince: now,
       lastWrite: Number.NEGATIVE_INFINITY,
       writing: false,
     };
@@ -532,7 +541,7 @@
   plan(now: number): void {
     const ready = this.ready();
     if (ready.length === 0) return;
-    const usable = [];
+    const usable: Usable[] = [];
     for (const machine of this.machines.values()) {
       if (!machine.resolved || this.unfit(machine, now)) continue;
       const free = this.free(machine);
@@ -540,34 +549,55 @@
     }
     if (usable.length === 0) return;
     const rooms = new Map<string, Quantity>();
-    for (const job of ready) {
-      const { spec } = job;
-      let room = rooms.get(spec.team);
-      if (!room) rooms.set(spec.team, (room = this.room(spec.team)));
-      let quota = fits({ ...room, memoryGb: Number.POSITIVE_INFINITY }, { ...spec, memoryGb: 0 });
-      if (quota === 0) continue;
-      // First fit, but machines that hold the image go first: a fetch costs as much as many a task.
-      const candidates = usable.filter((u) => allows(spec, u.machine.record) && fits(u.free, spec) > 0);
-      const holding = candidates.filter((u) => u.machine.images.has(spec.image));
-      const others = candidates.filter((u) => !u.machine.images.has(spec.image));
-      const placed = this.zonesOf(job);
-      let cursor = 0;
-      for (const { machine, free } of [...holding, ...others]) {
-        if (quota === 0 || job.waiting === 0) break;
-        const zone = machine.record.zone;
-        let n = Math.min(quota, fits(free, spec), zoneRoom(spec, zone, placed));
-        for (; n > 0 && cursor < job.tasks.length; cursor++) {
-          if (job.tasks[cursor] !== TaskState.Waiting || (job.notBefore.get(cursor) ?? 0) > now) continue;
-          this.place(job, cursor, machine, now);
-          n--;
-          quota--;
-          free.cpus -= spec.cpus;
-          free.accelerators -= spec.accelerators;
-          free.memoryGb -= spec.memoryGb;
-          room.cpus -= spec.cpus;
-          room.accelerators -= spec.accelerators;
-          placed.set(zone, (placed.get(zone) ?? 0) + 1);
-        }
+    for (let from = 0; from < ready.length;) {
+      let to = from;
+      while (to < ready.length && ready[to]?.spec.rank === ready[from]?.spec.rank) to++;
+      const peers = ready.slice(from, to);
+      // First fit in arrival order, in two goes: within an urgency, room on a machine first goes to the jobs
+      // whose image it holds, for a fetch costs as much as many a task. Who has waited long is not passed over.
+      for (const job of peers) this.fit(job, usable, rooms, now - job.readySince < IMAGE_PATIENCE_MS, now);
+      for (const job of peers) this.fit(job, usable, rooms, false, now);
+      from = to;
+    }
+  }
+
+  private fit(
+    job: Job,
+    usable: readonly Usable[],
+    rooms: Map<string, Quantity>,
+    held: boolean,
+    now: number,
+  ): void {
+    const { spec } = job;
+    if (job.waiting === 0) return;
+    let room = rooms.get(spec.team);
+    if (!room) rooms.set(spec.team, (room = this.room(spec.team)));
+    let quota = fits({ ...room, memoryGb: Number.POSITIVE_INFINITY }, { ...spec, memoryGb: 0 });
+    if (quota === 0) return;
+    const candidates = usable.filter(
+      (u) =>
+        allows(spec, u.machine.record) &&
+        fits(u.free, spec) > 0 &&
+        (!held || u.machine.images.has(spec.image)),
+    );
+    if (candidates.length === 0) return;
+    const placed = this.zonesOf(job);
+    let cursor = 0;
+    for (const { machine, free } of candidates) {
+      if (quota === 0 || job.waiting === 0) break;
+      const zone = machine.record.zone;
+      let n = Math.min(quota, fits(free, spec), zoneRoom(spec, zone, placed));
+      for (; n > 0 && cursor < job.tasks.length; cursor++) {
+        if (job.tasks[cursor] !== TaskState.Waiting || (job.notBefore.get(cursor) ?? 0) > now) continue;
+        this.place(job, cursor, machine, now);
+        n--;
+        quota--;
+        free.cpus -= spec.cpus;
+        free.accelerators -= spec.accelerators;
+        free.memoryGb -= spec.memoryGb;
+        room.cpus -= spec.cpus;
+        room.accelerators -= spec.accelerators;
+        placed.set(zone, (placed.get(zone) ?? 0) + 1);
       }
     }
   }
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -60,7 +60,7 @@
 
   job(job: JobSpec, version = FRESH, state: 'open' | 'done' | 'cancelled' = 'open', done = ''): void {
     this.known.set(job.ref, job);
-    this.core.putPipeline(record(job, state, done), version);
+    this.core.putPipeline(record(job, state, done), version, 0);
   }
 
   report(id: string, now: number, tasks: ReportedTask[] = [], change: Partial<Report> = {}): Command[] {
