--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -54,7 +54,8 @@
 /** A part as it will stand once the actions decided so far have been carried out. */
 interface PartView {
   load: PartLoad;
-  demands: Demand[];
+  /** By urgency: how many tasks of each demand find no room yet. */
+  waits: { demand: Demand; tasks: number }[];
   supply: Supply[];
 }
 
@@ -63,23 +64,22 @@
   const actions: FleetAction[] = [];
   const loadOf = new Map<string, MachineLoad>();
   for (const part of picture.loads) for (const m of part.machines) loadOf.set(m.machine, m);
-  const idle: FleetMachine[] = [];
   for (const m of picture.machines) {
-    if (m.returning) continue;
-    const load = loadOf.get(m.id);
-    const why = broken(m, load, picture);
+    const why = m.returning ? null : broken(m, loadOf.get(m.id), picture);
     if (why) actions.push({ kind: 'retire', machine: m.id, part: m.part, why, force: true });
-    else if (!m.booting && load?.tasks === 0 && load.leavingTo === null) idle.push(m);
   }
   const views = picture.loads.map((load) => view(load, picture, loadOf));
-  for (const part of views) serve(part, picture, idle, actions);
+  for (const part of views) cover(part);
+  for (const part of views) provide(part, views, picture, loadOf, actions);
   lend(views, picture, loadOf, actions);
   keep(views, picture, loadOf, actions);
   spare(views, picture, loadOf, actions);
   const moved = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
-  for (const m of idle) {
+  for (const m of picture.machines) {
     const load = loadOf.get(m.id);
-    if (load && load.idleMs > (m.spot ? KEEP_IDLE_MS.spot : KEEP_IDLE_MS.ordinary) && !moved.has(m.id)) {
+    if (m.returning || m.booting || !load || load.tasks > 0 || load.leavingTo !== null || moved.has(m.id))
+      continue;
+    if (load.idleMs > (m.spot ? KEEP_IDLE_MS.spot : KEEP_IDLE_MS.ordinary)) {
       actions.push({ kind: 'retire', machine: m.id, part: m.part, why: 'idle', force: false });
     }
   }
@@ -110,8 +110,8 @@
         };
     supply.push({ id: m.id, free, type, zone: m.zone, spot: m.spot });
   }
-  const demands = load.demands.map((d) => ({ ...d })).sort((a, b) => a.rank - b.rank);
-  return { load, demands, supply };
+  const demands = [...load.demands].sort((a, b) => a.rank - b.rank);
+  return { load, waits: demands.map((demand) => ({ demand, tasks: demand.tasks })), supply };
 }
 
 function workOf(demand: Demand, tasks: number): number {
@@ -123,36 +123,49 @@
   return allows(demand, { type: s.type.name, zone: s.zone, spot: s.spot }) && fits(s.type, demand) > 0;
 }
 
-function serve(part: PartView, picture: FleetPicture, idle: FleetMachine[], actions: FleetAction[]): void {
+/** Sets what waits against what is free or booting in the part itself. */
+function cover(part: PartView): void {
+  for (const wait of part.waits) {
+    for (const s of part.supply)
+      if (suits(wait.demand, s)) wait.tasks -= fill(s.free, wait.demand, wait.tasks);
+  }
+}
+
+/** Finds machines for what is left: first those that no part needs, then rented ones. */
+function provide(
+  part: PartView,
+  views: readonly PartView[],
+  picture: FleetPicture,
+  loadOf: ReadonlyMap<string, MachineLoad>,
+  actions: FleetAction[],
+): void {
   let ahead = part.load.workLeft;
-  for (const demand of part.demands) {
-    let tasks = demand.tasks;
-    for (const s of part.supply) if (suits(demand, s)) tasks -= fill(s.free, demand, tasks);
+  for (const wait of part.waits) {
+    const { demand } = wait;
     ahead += workOf(demand, demand.tasks);
-    if (tasks <= 0) continue;
+    for (const other of views) {
+      for (const s of [...other.supply]) {
+        const unused = s.id !== '' && s.free.cpus === s.type.cpus && (loadOf.get(s.id)?.tasks ?? 1) === 0;
+        if (other === part || wait.tasks <= 0 || !unused || !suits(demand, s)) continue;
+        other.supply.splice(other.supply.indexOf(s), 1);
+        const [fromPart, toPart] = [other.load.part, part.load.part];
+        actions.push({ kind: 'move', machine: s.id, fromPart, toPart, drain: false });
+        wait.tasks -= add(part, s.id, s.type, s.zone, s.spot, demand, wait.tasks);
+      }
+    }
+    if (wait.tasks <= 0) continue;
     const drainS = DRAIN_S[demand.rank] ?? 60;
     const size = Math.max(demand.cpus, 0.1);
     // What the machines that suit it will have worked off in time needs no new ones.
     const able = part.supply.reduce((sum, s) => sum + (suits(demand, s) ? s.type.cpus : 0), 0);
-    let missing = Math.min(tasks * size, ahead / drainS - able);
+    let missing = Math.min(wait.tasks * size, ahead / drainS - able);
     const patient = able > 0 && demand.spot && ahead / drainS <= ORDINARY_PATIENCE * able;
-    for (const m of [...idle]) {
-      const type = picture.types.get(m.type);
-      if (missing <= 0 || tasks <= 0) break;
-      if (!type || m.part === part.load.part || !suits(demand, { type, zone: m.zone, spot: m.spot }))
-        continue;
-      idle.splice(idle.indexOf(m), 1);
-      actions.push({ kind: 'move', machine: m.id, fromPart: m.part, toPart: part.load.part, drain: false });
-      const taken = add(part, m.id, type, m.zone, m.spot, demand, tasks);
-      tasks -= taken;
-      missing -= taken * size;
-    }
-    for (let tries = 0; missing > 0 && tasks > 0 && tries < 20; tries++) {
-      const order = cheapest(demand, missing, tasks, picture, !patient, actions);
+    for (let tries = 0; missing > 0 && wait.tasks > 0 && tries < 20; tries++) {
+      const order = cheapest(demand, missing, wait.tasks, picture, !patient, actions);
       const type = order && picture.types.get(order.type);
       if (!order || !type) break;
-      const taken = add(part, '', type, order.zone, order.spot, demand, tasks);
-      tasks -= taken;
+      const taken = add(part, '', type, order.zone, order.spot, demand, wait.tasks);
+      wait.tasks -= taken;
       missing -= taken * size;
       actions.push({ kind: 'rent', part: part.load.part, order });
     }
@@ -202,26 +215,31 @@
   const byHorizon = [...views].sort((a, b) => horizon(a, cpusOf(a)) - horizon(b, cpusOf(b)));
   const donor = byHorizon[0];
   const taker = byHorizon[byHorizon.length - 1];
-  if (!donor || !taker || donor === taker || taker.demands.length === 0) return;
+  if (!donor || !taker || donor === taker) return;
+  const unmet = taker.waits.filter((w) => w.tasks > 0);
+  let missing = unmet.reduce((sum, w) => sum + w.tasks * w.demand.cpus, 0);
   // What is being emptied already counts for the one that gets it.
   let leaving = 0;
   for (const m of picture.machines) {
     if (loadOf.get(m.id)?.leavingTo === taker.load.part) leaving += picture.types.get(m.type)?.cpus ?? 0;
   }
+  missing -= leaving;
   let [has, gets] = [cpusOf(donor), cpusOf(taker) + leaving];
   const taken = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
   // Emptiest first: what is free or still booting moves at once.
   const offers = donor.supply
-    .filter((s) => !taken.has(s.id) && loadOf.has(s.id) && taker.demands.some((d) => suits(d, s)))
+    .filter((s) => !taken.has(s.id) && loadOf.has(s.id) && unmet.some((w) => suits(w.demand, s)))
     .filter((s) => !loadOf.get(s.id)?.noticed && (loadOf.get(s.id)?.emptyInS ?? 0) < DRAIN_WITHIN_S)
     .sort((a, b) => b.free.cpus / b.type.cpus - a.free.cpus / a.type.cpus);
   for (const s of offers) {
     const slow = horizon(taker, gets);
-    if (slow < LEND_FROM_S || slow < LEND_RATIO * horizon(donor, has)) return;
+    // Work beyond the teams' limits cannot use more machines.
+    if (missing <= 0 || slow < LEND_FROM_S || slow < LEND_RATIO * horizon(donor, has)) return;
     // It must not turn the two round.
     if (horizon(donor, has - s.type.cpus) > horizon(taker, gets + s.type.cpus)) continue;
     has -= s.type.cpus;
     gets += s.type.cpus;
+    missing -= s.type.cpus;
     const [fromPart, toPart] = [donor.load.part, taker.load.part];
     actions.push({ kind: 'move', machine: s.id, fromPart, toPart, drain: true });
   }
@@ -242,7 +260,7 @@
     const taker = byPart.get(to);
     const wanted =
       to === LEAVES_FLEET
-        ? from.demands.length === 0
+        ? from.waits.length === 0
         : taker && horizon(taker, cpusOf(taker)) > horizon(from, cpusOf(from));
     if (!wanted) actions.push({ kind: 'move', machine: m.id, fromPart: m.part, toPart: m.part, drain: true });
   }
@@ -256,7 +274,7 @@
   actions: FleetAction[],
 ): void {
   for (const part of views) {
-    if (part.demands.length > 0 || picture.machines.some((m) => m.part === part.load.part && m.booting))
+    if (part.waits.length > 0 || picture.machines.some((m) => m.part === part.load.part && m.booting))
       continue;
     const running = part.supply.filter((s) => (loadOf.get(s.id)?.tasks ?? 0) > 0);
     const free = running.reduce((sum, s) => sum + s.free.cpus, 0);
