Provide for urgent work of all parts first, machines that boot too long do not count

Cause: 100 urgent tasks waited for slow large machines while less urgent work of the other part got the quick ones; a camion that never came up counted as room for 40 s.

--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -34,6 +34,7 @@
 const DRAIN_S = [15, 20, 40, 75] as const;
 /** An idle machine is kept this long: work comes in waves, and a new one must boot and fetch first. */
 const KEEP_IDLE_MS = { spot: 15_000, ordinary: 6000 };
+const LATE_BOOT = 1.7;
 const SILENT_MS = 30_000;
 /** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
 const ORDINARY_PATIENCE = 2;
@@ -54,9 +55,16 @@
 /** A part as it will stand once the actions decided so far have been carried out. */
 interface PartView {
   load: PartLoad;
-  /** By urgency: how many tasks of each demand find no room yet. */
-  waits: { demand: Demand; tasks: number }[];
+  waits: Wait[];
   supply: Supply[];
+  /** CPU seconds that run or wait, down to the urgency looked at. */
+  ahead: number;
+}
+
+/** How many tasks of a demand find no room yet. */
+interface Wait {
+  demand: Demand;
+  tasks: number;
 }
 
 /** What to rent, move and return, given what waits and what there is. Pure. */
@@ -70,7 +78,10 @@
   }
   const views = picture.loads.map((load) => view(load, picture, loadOf));
   for (const part of views) cover(part);
-  for (const part of views) provide(part, views, picture, loadOf, actions);
+  // The more urgent first, whichever part it waits in.
+  const waits = views.flatMap((part) => part.waits.map((wait) => ({ part, wait })));
+  waits.sort((a, b) => a.wait.demand.rank - b.wait.demand.rank);
+  for (const { part, wait } of waits) provide(part, wait, views, picture, loadOf, actions);
   lend(views, picture, loadOf, actions);
   keep(views, picture, loadOf, actions);
   spare(views, picture, loadOf, actions);
@@ -101,6 +112,8 @@
     const type = picture.types.get(m.type);
     const state = loadOf.get(m.id);
     if (m.part !== load.part || m.returning || !type || (state && state.leavingTo !== null)) continue;
+    // Some machines take several times as long to boot as they should: nobody waits for those.
+    if (m.booting && m.ageMs > LATE_BOOT * type.bootS * 1000) continue;
     const free = m.booting
       ? { cpus: type.cpus, accelerators: type.accelerators, memoryGb: type.memoryGb }
       : {
@@ -111,7 +124,12 @@
     supply.push({ id: m.id, free, type, zone: m.zone, spot: m.spot });
   }
   const demands = [...load.demands].sort((a, b) => a.rank - b.rank);
-  return { load, waits: demands.map((demand) => ({ demand, tasks: demand.tasks })), supply };
+  return {
+    load,
+    waits: demands.map((demand) => ({ demand, tasks: demand.tasks })),
+    supply,
+    ahead: load.workLeft,
+  };
 }
 
 function workOf(demand: Demand, tasks: number): number {
@@ -134,42 +152,40 @@
 /** Finds machines for what is left: first those that no part needs, then rented ones. */
 function provide(
   part: PartView,
+  wait: Wait,
   views: readonly PartView[],
   picture: FleetPicture,
   loadOf: ReadonlyMap<string, MachineLoad>,
   actions: FleetAction[],
 ): void {
-  let ahead = part.load.workLeft;
-  for (const wait of part.waits) {
-    const { demand } = wait;
-    ahead += workOf(demand, demand.tasks);
-    for (const other of views) {
-      for (const s of [...other.supply]) {
-        const unused = s.id !== '' && s.free.cpus === s.type.cpus && (loadOf.get(s.id)?.tasks ?? 1) === 0;
-        if (other === part || wait.tasks <= 0 || !unused || !suits(demand, s)) continue;
-        other.supply.splice(other.supply.indexOf(s), 1);
-        const [fromPart, toPart] = [other.load.part, part.load.part];
-        actions.push({ kind: 'move', machine: s.id, fromPart, toPart, drain: false });
-        wait.tasks -= add(part, s.id, s.type, s.zone, s.spot, demand, wait.tasks);
-      }
-    }
-    if (wait.tasks <= 0) continue;
-    const drainS = DRAIN_S[demand.rank] ?? 60;
-    const size = Math.max(demand.cpus, 0.1);
-    // What the machines that suit it will have worked off in time needs no new ones.
-    const able = part.supply.reduce((sum, s) => sum + (suits(demand, s) ? s.type.cpus : 0), 0);
-    let missing = Math.min(wait.tasks * size, ahead / drainS - able);
-    const patient = able > 0 && demand.spot && ahead / drainS <= ORDINARY_PATIENCE * able;
-    for (let tries = 0; missing > 0 && wait.tasks > 0 && tries < 20; tries++) {
-      const order = cheapest(demand, missing, wait.tasks, picture, !patient, actions);
-      const type = order && picture.types.get(order.type);
-      if (!order || !type) break;
-      const taken = add(part, '', type, order.zone, order.spot, demand, wait.tasks);
-      wait.tasks -= taken;
-      missing -= taken * size;
-      actions.push({ kind: 'rent', part: part.load.part, order });
+  const { demand } = wait;
+  part.ahead += workOf(demand, demand.tasks);
+  for (const other of views) {
+    for (const s of [...other.supply]) {
+      const unused = s.id !== '' && s.free.cpus === s.type.cpus && (loadOf.get(s.id)?.tasks ?? 1) === 0;
+      if (other === part || wait.tasks <= 0 || !unused || !suits(demand, s)) continue;
+      other.supply.splice(other.supply.indexOf(s), 1);
+      const [fromPart, toPart] = [other.load.part, part.load.part];
+      actions.push({ kind: 'move', machine: s.id, fromPart, toPart, drain: false });
+      wait.tasks -= add(part, s.id, s.type, s.zone, s.spot, demand, wait.tasks);
     }
   }
+  if (wait.tasks <= 0) return;
+  const drainS = DRAIN_S[demand.rank] ?? 60;
+  const size = Math.max(demand.cpus, 0.1);
+  // What the machines that suit it will have worked off in time needs no new ones.
+  const able = part.supply.reduce((sum, s) => sum + (suits(demand, s) ? s.type.cpus : 0), 0);
+  let missing = Math.min(wait.tasks * size, part.ahead / drainS - able);
+  const patient = able > 0 && demand.spot && part.ahead / drainS <= ORDINARY_PATIENCE * able;
+  for (let tries = 0; missing > 0 && wait.tasks > 0 && tries < 20; tries++) {
+    const order = cheapest(demand, missing, wait.tasks, picture, !patient, actions);
+    const type = order && picture.types.get(order.type);
+    if (!order || !type) break;
+    const taken = add(part, '', type, order.zone, order.spot, demand, wait.tasks);
+    wait.tasks -= taken;
+    missing -= taken * size;
+    actions.push({ kind: 'rent', part: part.load.part, order });
+  }
 }
 
 /** Counts a machine that is on its way to the part; returns how many of the demand's tasks it takes. */
