--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -1,4 +1,5 @@
 import { type MachineType, type RentalOrder } from '../protocol/cloud';
+import { URGENCIES } from '../protocol/jobs';
 import { LEAVES_FLEET, type Demand, type MachineLoad, type PartLoad } from '../protocol/peers';
 import { allows, fits, type Free } from './placement';
 
@@ -176,7 +177,9 @@
   // What the machines that suit it will have worked off in time needs no new ones.
   const able = part.supply.reduce((sum, s) => sum + (suits(demand, s) ? s.type.cpus : 0), 0);
   let missing = Math.min(wait.tasks * size, part.ahead / drainS - able);
-  const patient = able > 0 && demand.spot && part.ahead / drainS <= ORDINARY_PATIENCE * able;
+  // Idle work waits for cheap machines as long as there are any that will come to it.
+  const idle = demand.rank === URGENCIES.length - 1;
+  const patient = able > 0 && demand.spot && (idle || part.ahead / drainS <= ORDINARY_PATIENCE * able);
   for (let tries = 0; missing > 0 && wait.tasks > 0 && tries < 20; tries++) {
     const order = cheapest(demand, missing, wait.tasks, picture, !patient, actions);
     const type = order && picture.types.get(order.type);
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -548,6 +548,10 @@
       if (free && free.cpus > 0) usable.push({ machine, free });
     }
     if (usable.length === 0) return;
+    // Cheap machines first, then the fullest: what is dear or nearly empty comes free to be given back.
+    usable.sort(
+      (a, b) => Number(b.machine.record.spot) - Number(a.machine.record.spot) || a.free.cpus - b.free.cpus,
+    );
     const rooms = new Map<string, Quantity>();
     for (let from = 0; from < ready.length;) {
       let to = from;
