--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -152,7 +152,12 @@
       () => this.types(),
       (ref) =>
         (this.ledger.entries.get(keys.pipeline(ref))?.value as PipelineRecord | undefined)?.jobs[0]?.spec,
-      { reportMs: settings.reportMs, leaseMs: settings.leaseMs, valueBytes: settings.store.valueBytes },
+      {
+        reportMs: settings.reportMs,
+        leaseMs: settings.leaseMs,
+        valueBytes: settings.store.valueBytes,
+        objectives: settings.objectives,
+      },
     );
     const actor = new PartActor(
       core,
--- a/src/coordination/part-actor.ts
+++ b/src/coordination/part-actor.ts
@@ -64,7 +64,7 @@
         return;
       case 'tick':
         if (!this.active) return;
-        this.core.tick(now);
+        this.core.tick(now, this.clock.today().getTime());
         this.lendEmptied();
         this.write(now);
         return;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -8,11 +8,12 @@
   type MachineRecord,
   type PipelineRecord,
 } from '../protocol/records';
-import { type Quantity, type Team } from '../protocol/settings';
+import { type Objective, type Quantity, type Team } from '../protocol/settings';
 import { type Command, type Report } from '../protocol/workers';
 import { MachineState, taskKey, type Exit, type Presumed } from './machine';
 import { allows, fits, zoneRoom, type Free } from './placement';
 import { walk } from './recovery';
+import { duesOf, Estimates, missed } from './urgency';
 
 enum TaskState {
   Waiting,
@@ -33,6 +34,7 @@
   record: PipelineRecord;
   version: number;
   acceptedAt: number;
+  dues: number[];
   state: JobState;
   tasks: Uint8Array;
   waiting: number;
@@ -55,6 +57,7 @@
   reportMs: number;
   leaseMs: number;
   valueBytes: number;
+  objectives: readonly Objective[];
 }
 
 export interface JobWrite {
@@ -70,6 +73,9 @@
 /** A job that failed on this many machines and never succeeded is taken to be at fault itself. */
 const JOB_AT_FAULT = 3;
 const STEP_BACK = 4;
+/** Estimates err by half: a job is given up on for a due only if this share of it would be too long. */
+const SURELY_NEEDED = 0.6;
+const REORDER_MS = 1000;
 const IMAGE_PATIENCE_MS = 30_000;
 const ATTEMPTS_PER_INCARNATION = 1_000_000;
 
@@ -82,6 +88,9 @@
   private readonly jobs = new Map<string, Job>();
   private order: Job[] = [];
   private orderStale = false;
+  private orderedAt = Number.NEGATIVE_INFINITY;
+  private today = 0;
+  private readonly estimates = new Estimates();
   private readonly used = new Map<string, Quantity>();
   private readonly limits = new Map<string, Team>();
   private attempts = 0;
@@ -197,6 +206,7 @@
       record,
       version,
       acceptedAt: new Date(record.accepted).getTime(),
+      dues: duesOf(jobRecord.spec, this.options.objectives),
       state: 'open',
       tasks,
       waiting: tasks.length - done,
@@ -334,6 +344,10 @@
   private exited(machine: MachineState, exit: Exit, now: number): void {
     if (exit.presumed) this.giveBack(exit.presumed);
     const job = this.jobs.get(exit.ref);
+    const since = exit.presumed?.runningSince;
+    if (job && exit.reason === 'done' && typeof since === 'number' && job.spec.checkpointS === 0) {
+      this.estimates.learn(job.spec.workload, job.spec.expectedS, (now - since) / 1000);
+    }
     if (!job || exit.index >= job.tasks.length) return;
     if (exit.reason === 'done') {
       machine.failures = 0;
@@ -456,7 +470,12 @@
 
   // Time.
 
-  tick(now: number): void {
+  tick(now: number, today: number): void {
+    this.today = today;
+    if (now - this.orderedAt > REORDER_MS) {
+      this.orderedAt = now;
+      this.orderStale = true;
+    }
     for (const machine of this.machines.values()) {
       const lost = machine.expire(now, this.options.leaseMs);
       for (const task of lost ?? []) {
@@ -515,19 +534,29 @@
     return room;
   }
 
+  /** The open jobs in their turn; `today` is the time of day. */
   private sorted(): Job[] {
-    if (this.orderStale) {
-      let cpus = 1;
-      for (const m of this.machines.values()) cpus += this.types().get(m.record.type)?.cpus ?? 0;
+    if (!this.orderStale) return this.order;
+    this.orderStale = false;
+    let cpus = 1;
+    for (const m of this.machines.values()) cpus += this.types().get(m.record.type)?.cpus ?? 0;
+    const turns = new Map<Job, { late: number; turn: number }>();
+    for (const job of this.jobs.values()) {
+      const expectedS = this.estimates.expect(job.spec);
+      const late = missed(job.dues, (this.today - job.acceptedAt) / 1000, expectedS * SURELY_NEEDED);
       // Arrival order, but a job steps back by a few times what it would take all our machines: one large job
       // ahead of twenty small ones makes twenty users wait for one. The step is bounded, so none starves.
-      const turn = (job: Job): number =>
-        job.acceptedAt + (STEP_BACK * 1000 * job.spec.tasks * job.spec.cpus * job.spec.expectedS) / cpus;
-      this.order = [...this.jobs.values()].sort(
-        (a, b) => a.spec.rank - b.spec.rank || turn(a) - turn(b) || (a.ref < b.ref ? -1 : 1),
-      );
-      this.orderStale = false;
+      const turn = job.acceptedAt + (STEP_BACK * 1000 * job.spec.tasks * job.spec.cpus * expectedS) / cpus;
+      turns.set(job, { late, turn });
     }
+    const of = (job: Job): { late: number; turn: number } => turns.get(job) ?? { late: 0, turn: 0 };
+    this.order = [...this.jobs.values()].sort(
+      (a, b) =>
+        a.spec.rank - b.spec.rank ||
+        of(a).late - of(b).late ||
+        of(a).turn - of(b).turn ||
+        (a.ref < b.ref ? -1 : 1),
+    );
     return this.order;
   }
 
@@ -654,17 +683,18 @@
       room.cpus -= tasks * spec.cpus;
       room.accelerators -= tasks * spec.accelerators;
       const slackS = spec.deadlineS === null ? null : spec.deadlineS - (today - job.acceptedAt) / 1000;
+      const expectedS = this.estimates.expect(spec);
       const key = JSON.stringify([spec.workload, spec.cpus, spec.memoryGb, spec.types, spec.zone, spec.spot]);
       const known = demands.get(key);
       if (known) {
-        known.seconds = (known.seconds * known.tasks + spec.expectedS * tasks) / (known.tasks + tasks);
+        known.seconds = (known.seconds * known.tasks + expectedS * tasks) / (known.tasks + tasks);
         known.tasks += tasks;
         if (slackS !== null) known.slackS = Math.min(known.slackS ?? slackS, slackS);
       } else {
         const { cpus, accelerators, memoryGb, types, zone, spot, rank, imageGb } = spec;
         demands.set(key, {
           ...{ cpus, accelerators, memoryGb, types, zone, spot, rank, imageGb },
-          ...{ tasks, seconds: spec.expectedS, slackS },
+          ...{ tasks, seconds: expectedS, slackS },
         });
       }
     }
@@ -675,7 +705,8 @@
         const spec = this.jobs.get(task.ref)?.spec;
         if (!spec) continue;
         const ran = task.runningSince === null ? 0 : (now - task.runningSince) / 1000;
-        const left = Math.max(spec.expectedS - ran, spec.expectedS * 0.2);
+        const expectedS = this.estimates.expect(spec);
+        const left = Math.max(expectedS - ran, expectedS * 0.2);
         workLeft += spec.cpus * left;
         emptyIn.set(machine.id, Math.max(emptyIn.get(machine.id) ?? 0, left));
       }
@@ -684,7 +715,10 @@
       part: this.id,
       version: this.version,
       workLeft,
-      backlog: this.sorted().reduce((sum, j) => sum + j.waiting * j.spec.cpus * j.spec.expectedS, 0),
+      backlog: this.sorted().reduce(
+        (sum, j) => sum + j.waiting * j.spec.cpus * this.estimates.expect(j.spec),
+        0,
+      ),
       demands: [...demands.values()],
       machines: [...this.machines.values()].map((m) => {
         const free = this.free(m) ?? { cpus: 0, accelerators: 0, memoryGb: 0 };
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -23,7 +23,14 @@
       )
       .min(1),
     objectives: z
-      .array(z.object({ kind: z.string(), class: z.string().optional(), within_s: z.number().optional() }))
+      .array(
+        z.object({
+          kind: z.string(),
+          class: z.string().optional(),
+          within_s: z.number().optional(),
+          times: z.number().optional(),
+        }),
+      )
       .default([]),
     workers: z.object({
       report_s: z.number().positive(),
@@ -52,6 +59,11 @@
   accelerators: number;
 }
 
+/** What the operator expects of a class of jobs; other kinds of objective say nothing of single jobs. */
+export type Objective =
+  | { kind: 'deadline'; workload: string; times: number }
+  | { kind: 'finished'; workload: string; withinS: number };
+
 export interface Settings {
   member: string;
   listen: string;
@@ -60,6 +72,7 @@
   cloud: string;
   state: string;
   teams: Team[];
+  objectives: Objective[];
   reportMs: number;
   leaseMs: number;
   store: { requestRate: number; writeRate: number; valueBytes: number; txnOps: number };
@@ -95,6 +108,14 @@
       guaranteed: { cpus: t.cpus, accelerators: t.gpus },
       limit: { cpus: t.cpus_max, accelerators: t.gpus_max },
     })),
+    objectives: s.facts.objectives.flatMap((o): Objective[] => {
+      if (o.class === undefined) return [];
+      if (o.kind === 'deadline') return [{ kind: 'deadline', workload: o.class, times: o.times ?? 1 }];
+      if (o.kind === 'finished' && o.within_s !== undefined) {
+        return [{ kind: 'finished', workload: o.class, withinS: o.within_s }];
+      }
+      return [];
+    }),
     reportMs: s.facts.workers.report_s * 1000,
     leaseMs: s.facts.workers.lease_s * 1000,
     store: {
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -42,7 +42,7 @@
       guaranteed: { cpus: 4, accelerators: 0 },
       limit: { cpus: limit, accelerators: 0 },
     };
-    const options = { reportMs: 2000, leaseMs: 12_000, valueBytes: 4096 };
+    const options = { reportMs: 2000, leaseMs: 12_000, valueBytes: 4096, objectives: [] };
     this.core = new PartCore(
       'p0',
       VERSION,
@@ -139,10 +139,10 @@
       b.job(spec('job-1'), OLD);
       b.job(spec('job-2'));
       assert.deepEqual(starts(b.report('m', 0)), ['job-2/0', 'job-2/1']);
-      b.core.tick(12_000);
+      b.core.tick(12_000, 0);
       const early = starts(b.report('m', 12_100));
       assert.ok(!early.some((s) => s.startsWith('job-1/')), 'the lease may not have run out yet');
-      b.core.tick(13_000);
+      b.core.tick(13_000, 0);
       assert.ok(starts(b.report('m', 13_100)).includes('job-1/0'));
     },
   ],
