--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -34,7 +34,12 @@
 /** Within how many seconds the waiting work of an urgency is meant to be done; index as in URGENCIES. */
 const DRAIN_S = [15, 20, 40, 75] as const;
 /** An idle machine is kept this long: work comes in waves, and a new one must boot and fetch first. */
-const KEEP_IDLE_MS = { spot: 15_000, ordinary: 6000 };
+const KEEP_IDLE_MS = { spot: 18_000, ordinary: 6000 };
+/** Once no job has come for this long, little is kept for the next one. */
+const QUIET_S = 20;
+const KEEP_QUIET_MS = 4000;
+const SPARE_ROOM = 1.5;
+const SPARE_FROM_S = 12;
 const LATE_BOOT = 1.7;
 const SILENT_MS = 30_000;
 /** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
@@ -85,13 +90,15 @@
   for (const { part, wait } of waits) provide(part, wait, views, picture, loadOf, actions);
   lend(views, picture, loadOf, actions);
   keep(views, picture, loadOf, actions);
-  spare(views, picture, loadOf, actions);
+  const quiet = picture.loads.every((load) => load.quietS > QUIET_S);
+  if (quiet) spare(views, picture, loadOf, actions);
   const moved = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
   for (const m of picture.machines) {
     const load = loadOf.get(m.id);
     if (m.returning || m.booting || !load || load.tasks > 0 || load.leavingTo !== null || moved.has(m.id))
       continue;
-    if (load.idleMs > (m.spot ? KEEP_IDLE_MS.spot : KEEP_IDLE_MS.ordinary)) {
+    const keepMs = m.spot ? KEEP_IDLE_MS.spot : KEEP_IDLE_MS.ordinary;
+    if (load.idleMs > (quiet ? KEEP_QUIET_MS : keepMs)) {
       actions.push({ kind: 'retire', machine: m.id, part: m.part, why: 'idle', force: false });
     }
   }
@@ -295,14 +302,17 @@
   for (const part of views) {
     if (part.waits.length > 0 || picture.machines.some((m) => m.part === part.load.part && m.booting))
       continue;
+    // One at a time, until what it held has settled elsewhere.
+    if (part.load.machines.some((m) => m.leavingTo === LEAVES_FLEET && m.tasks > 0)) continue;
     const running = part.supply.filter((s) => (loadOf.get(s.id)?.tasks ?? 0) > 0);
     const free = running.reduce((sum, s) => sum + s.free.cpus, 0);
     let worst: Supply | null = null;
     let worstCost = 0;
     for (const s of running) {
       const used = s.type.cpus - s.free.cpus;
-      // Twice the room that its tasks take: some of it will be needed by what comes next.
-      if (free - s.free.cpus < 2 * used) continue;
+      // More room than its tasks take: some of it will be needed by what comes next.
+      if (free - s.free.cpus < SPARE_ROOM * used || (loadOf.get(s.id)?.emptyInS ?? 0) < SPARE_FROM_S)
+        continue;
       const cost = ((s.spot ? s.type.spotPrice : s.type.price) * s.free.cpus) / s.type.cpus;
       if (cost > worstCost) [worst, worstCost] = [s, cost];
     }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -1,6 +1,6 @@
 import { type MachineType } from '../protocol/cloud';
 import { URGENCIES, type JobSpec } from '../protocol/jobs';
-import { type Demand, type PartLoad } from '../protocol/peers';
+import { LEAVES_FLEET, type Demand, type PartLoad } from '../protocol/peers';
 import {
   decodeRanges,
   encodeRanges,
@@ -90,6 +90,7 @@
   private orderStale = false;
   private orderedAt = Number.NEGATIVE_INFINITY;
   private today = 0;
+  private lastArrival = 0;
   private readonly estimates = new Estimates();
   private readonly used = new Map<string, Quantity>();
   private readonly limits = new Map<string, Team>();
@@ -163,6 +164,13 @@
     machine.leavingTo = part === this.id ? null : part;
     if (machine.leavingTo === null) return;
     for (const task of machine.unplan()) this.giveBack(task);
+    if (part !== LEAVES_FLEET) return;
+    // A dear machine is not kept for the sake of tasks that can go on elsewhere from what they saved.
+    for (const task of machine.tasks.values()) {
+      const spec = this.jobs.get(task.ref)?.spec;
+      if (!spec || spec.checkpointS <= 0 || task.stop || task.runningSince === null) continue;
+      task.stop = { graceS: spec.saveS + 1 };
+    }
   }
 
   /** Machines that were emptied for another part. */
@@ -223,6 +231,7 @@
     };
     if (job.suspect && done < tasks.length) this.recover(job);
     this.jobs.set(ref, job);
+    this.lastArrival = now;
     this.orderStale = true;
   }
 
@@ -715,6 +724,7 @@
       part: this.id,
       version: this.version,
       workLeft,
+      quietS: (now - this.lastArrival) / 1000,
       backlog: this.sorted().reduce(
         (sum, j) => sum + j.waiting * j.spec.cpus * this.estimates.expect(j.spec),
         0,
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -49,6 +49,8 @@
   workLeft: number;
   /** CPU seconds that wait, also beyond what the teams' limits allow now. */
   backlog: number;
+  /** Seconds since a job last came. */
+  quietS: number;
 }
 
 export type PeerMessage =
@@ -86,6 +88,7 @@
                 { name: 'version', type: 'long' },
                 { name: 'workLeft', type: 'double' },
                 { name: 'backlog', type: 'double' },
+                { name: 'quietS', type: 'double' },
                 {
                   name: 'demands',
                   type: {
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -165,7 +165,7 @@
   change: Partial<PartLoad> = {},
 ): PartLoad {
   const backlog = demands.reduce((sum, d) => sum + d.tasks * d.cpus * d.seconds, 0);
-  return { part: id, version: 1, demands, machines, workLeft: 0, backlog, ...change };
+  return { part: id, version: 1, demands, machines, workLeft: 0, backlog, quietS: 0, ...change };
 }
 
 function machine(id: string, change: Partial<FleetMachine> = {}): FleetMachine {
