--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -40,6 +40,8 @@
 const KEEP_QUIET_MS = 4000;
 const SPARE_ROOM = 1.5;
 const SPARE_FROM_S = 12;
+/** Bounds one round; the next one goes on. */
+const MOST_ACTIONS = 60;
 const LATE_BOOT = 1.7;
 const SILENT_MS = 30_000;
 /** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
@@ -84,10 +86,15 @@
   }
   const views = picture.loads.map((load) => view(load, picture, loadOf));
   for (const part of views) cover(part);
-  // The more urgent first, whichever part it waits in.
-  const waits = views.flatMap((part) => part.waits.map((wait) => ({ part, wait })));
-  waits.sort((a, b) => a.wait.demand.rank - b.wait.demand.rank);
-  for (const { part, wait } of waits) provide(part, wait, views, picture, loadOf, actions);
+  for (let rank = 0; rank < URGENCIES.length; rank++) {
+    const waits = views.flatMap((part) => part.waits.map((wait) => ({ part, wait })));
+    const group = waits.filter(({ wait }) => wait.demand.rank === rank);
+    for (const { part, wait } of group) part.ahead += workOf(wait.demand, wait.demand.tasks);
+    // The more urgent first, and one machine each in turn: quick ones are few, and none should get them all.
+    for (let open = group; open.length > 0 && actions.length < MOST_ACTIONS;) {
+      open = open.filter(({ part, wait }) => provide(part, wait, views, picture, loadOf, actions));
+    }
+  }
   lend(views, picture, loadOf, actions);
   keep(views, picture, loadOf, actions);
   const quiet = picture.loads.every((load) => load.quietS > QUIET_S);
@@ -157,7 +164,7 @@
   }
 }
 
-/** Finds machines for what is left: first those that no part needs, then rented ones. */
+/** Finds one machine for what is left: one that no part needs, else a rented one. False: none, or none needed. */
 function provide(
   part: PartView,
   wait: Wait,
@@ -165,37 +172,36 @@
   picture: FleetPicture,
   loadOf: ReadonlyMap<string, MachineLoad>,
   actions: FleetAction[],
-): void {
+): boolean {
   const { demand } = wait;
-  part.ahead += workOf(demand, demand.tasks);
+  if (wait.tasks <= 0) return false;
   for (const other of views) {
-    for (const s of [...other.supply]) {
-      const unused = s.id !== '' && s.free.cpus === s.type.cpus && (loadOf.get(s.id)?.tasks ?? 1) === 0;
-      if (other === part || wait.tasks <= 0 || !unused || !suits(demand, s)) continue;
-      other.supply.splice(other.supply.indexOf(s), 1);
-      const [fromPart, toPart] = [other.load.part, part.load.part];
-      actions.push({ kind: 'move', machine: s.id, fromPart, toPart, drain: false });
-      wait.tasks -= add(part, s.id, s.type, s.zone, s.spot, demand, wait.tasks);
-    }
+    if (other === part) continue;
+    const unused = (s: Supply): boolean =>
+      s.free.cpus === s.type.cpus && (loadOf.get(s.id)?.tasks ?? 1) === 0;
+    const spare = other.supply.find((s) => s.id !== '' && unused(s) && suits(demand, s));
+    if (!spare) continue;
+    other.supply.splice(other.supply.indexOf(spare), 1);
+    const [fromPart, toPart] = [other.load.part, part.load.part];
+    actions.push({ kind: 'move', machine: spare.id, fromPart, toPart, drain: false });
+    wait.tasks -= add(part, spare.id, spare.type, spare.zone, spare.spot, demand, wait.tasks);
+    return true;
   }
-  if (wait.tasks <= 0) return;
   const drainS = DRAIN_S[demand.rank] ?? 60;
   const size = Math.max(demand.cpus, 0.1);
   // What the machines that suit it will have worked off in time needs no new ones.
   const able = part.supply.reduce((sum, s) => sum + (suits(demand, s) ? s.type.cpus : 0), 0);
-  let missing = Math.min(wait.tasks * size, part.ahead / drainS - able);
+  const missing = Math.min(wait.tasks * size, part.ahead / drainS - able);
+  if (missing <= 0) return false;
   // Idle work waits for cheap machines as long as there are any that will come to it.
   const idle = demand.rank === URGENCIES.length - 1;
   const patient = able > 0 && demand.spot && (idle || part.ahead / drainS <= ORDINARY_PATIENCE * able);
-  for (let tries = 0; missing > 0 && wait.tasks > 0 && tries < 20; tries++) {
-    const order = cheapest(demand, missing, wait.tasks, picture, !patient, actions);
-    const type = order && picture.types.get(order.type);
-    if (!order || !type) break;
-    const taken = add(part, '', type, order.zone, order.spot, demand, wait.tasks);
-    wait.tasks -= taken;
-    missing -= taken * size;
-    actions.push({ kind: 'rent', part: part.load.part, order });
-  }
+  const order = cheapest(demand, missing, wait.tasks, picture, !patient, actions);
+  const type = order && picture.types.get(order.type);
+  if (!order || !type) return false;
+  wait.tasks -= add(part, '', type, order.zone, order.spot, demand, wait.tasks);
+  actions.push({ kind: 'rent', part: part.load.part, order });
+  return true;
 }
 
 /** Counts a machine that is on its way to the part; returns how many of the demand's tasks it takes. */
