Empty machines of all parts are one pool, divided in turn, the quickest first

Cause: one part took the other's booting machines as unused while its own picture was half a second old, and was left with slow ones.

--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -42,6 +42,7 @@
 const SPARE_FROM_S = 12;
 /** Bounds one round; the next one goes on. */
 const MOST_ACTIONS = 60;
+const READY_STEP_S = 5;
 const LATE_BOOT = 1.7;
 const SILENT_MS = 30_000;
 /** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
@@ -84,7 +85,8 @@
     const why = m.returning ? null : broken(m, loadOf.get(m.id), picture);
     if (why) actions.push({ kind: 'retire', machine: m.id, part: m.part, why, force: true });
   }
-  const views = picture.loads.map((load) => view(load, picture, loadOf));
+  const pool = empties(picture, loadOf);
+  const views = picture.loads.map((load) => view(load, picture, loadOf, pool));
   for (const part of views) cover(part);
   for (let rank = 0; rank < URGENCIES.length; rank++) {
     const waits = views.flatMap((part) => part.waits.map((wait) => ({ part, wait })));
@@ -92,7 +94,7 @@
     for (const { part, wait } of group) part.ahead += workOf(wait.demand, wait.demand.tasks);
     // The more urgent first, and one machine each in turn: quick ones are few, and none should get them all.
     for (let open = group; open.length > 0 && actions.length < MOST_ACTIONS;) {
-      open = open.filter(({ part, wait }) => provide(part, wait, views, picture, loadOf, actions));
+      open = open.filter(({ part, wait }) => provide(part, wait, pool, picture, actions));
     }
   }
   lend(views, picture, loadOf, actions);
@@ -121,21 +123,47 @@
   return null;
 }
 
-function view(load: PartLoad, picture: FleetPicture, loadOf: ReadonlyMap<string, MachineLoad>): PartView {
+/** A machine that holds nothing: any part may have it. */
+interface Empty extends Supply {
+  part: string;
+  /** Seconds until it can take tasks, roughly: small differences are no reason to move it. */
+  readyInS: number;
+}
+
+/** Machines that are idle or booting. Some take several times as long to boot as they should: not those. */
+function empties(picture: FleetPicture, loadOf: ReadonlyMap<string, MachineLoad>): Empty[] {
+  const pool: Empty[] = [];
+  for (const m of picture.machines) {
+    const type = picture.types.get(m.type);
+    const state = loadOf.get(m.id);
+    const late = m.booting && type !== undefined && m.ageMs > LATE_BOOT * type.bootS * 1000;
+    if (!type || late || m.returning || unusable(state) || (!m.booting && state?.tasks !== 0)) continue;
+    const leftS = m.booting ? Math.max(0, type.bootS - m.ageMs / 1000) : 0;
+    const readyInS = Math.ceil(leftS / READY_STEP_S) * READY_STEP_S;
+    const free = { cpus: type.cpus, accelerators: type.accelerators, memoryGb: type.memoryGb };
+    pool.push({ id: m.id, part: m.part, free, type, zone: m.zone, spot: m.spot, readyInS });
+  }
+  return pool;
+}
+
+function unusable(state: MachineLoad | undefined): boolean {
+  return state !== undefined && (state.leavingTo !== null || state.faulty || state.noticed);
+}
+
+function view(
+  load: PartLoad,
+  picture: FleetPicture,
+  loadOf: ReadonlyMap<string, MachineLoad>,
+  pool: readonly Empty[],
+): PartView {
   const supply: Supply[] = [];
+  const empty = new Set(pool.map((e) => e.id));
   for (const m of picture.machines) {
     const type = picture.types.get(m.type);
     const state = loadOf.get(m.id);
-    if (m.part !== load.part || m.returning || !type || (state && state.leavingTo !== null)) continue;
-    // Some machines take several times as long to boot as they should: nobody waits for those.
-    if (m.booting && m.ageMs > LATE_BOOT * type.bootS * 1000) continue;
-    const free = m.booting
-      ? { cpus: type.cpus, accelerators: type.accelerators, memoryGb: type.memoryGb }
-      : {
-          cpus: state?.freeCpus ?? 0,
-          accelerators: state?.freeAccelerators ?? 0,
-          memoryGb: state?.freeMemoryGb ?? 0,
-        };
+    if (m.part !== load.part || m.returning || !type || !state || unusable(state) || m.booting) continue;
+    if (empty.has(m.id)) continue;
+    const free = { cpus: state.freeCpus, accelerators: state.freeAccelerators, memoryGb: state.freeMemoryGb };
     supply.push({ id: m.id, free, type, zone: m.zone, spot: m.spot });
   }
   const demands = [...load.demands].sort((a, b) => a.rank - b.rank);
@@ -156,7 +184,7 @@
   return allows(demand, { type: s.type.name, zone: s.zone, spot: s.spot }) && fits(s.type, demand) > 0;
 }
 
-/** Sets what waits against what is free or booting in the part itself. */
+/** Sets what waits against the room on machines that the part uses already. */
 function cover(part: PartView): void {
   for (const wait of part.waits) {
     for (const s of part.supply)
@@ -164,27 +192,32 @@
   }
 }
 
-/** Finds one machine for what is left: one that no part needs, else a rented one. False: none, or none needed. */
+/** Finds one machine for what is left: the empty one that is ready first, else a rented one. False: none. */
 function provide(
   part: PartView,
   wait: Wait,
-  views: readonly PartView[],
+  pool: Empty[],
   picture: FleetPicture,
-  loadOf: ReadonlyMap<string, MachineLoad>,
   actions: FleetAction[],
 ): boolean {
   const { demand } = wait;
+  // Room left on machines that this part has been given meanwhile.
+  for (const s of part.supply) if (suits(demand, s)) wait.tasks -= fill(s.free, demand, wait.tasks);
   if (wait.tasks <= 0) return false;
-  for (const other of views) {
-    if (other === part) continue;
-    const unused = (s: Supply): boolean =>
-      s.free.cpus === s.type.cpus && (loadOf.get(s.id)?.tasks ?? 1) === 0;
-    const spare = other.supply.find((s) => s.id !== '' && unused(s) && suits(demand, s));
-    if (!spare) continue;
-    other.supply.splice(other.supply.indexOf(spare), 1);
-    const [fromPart, toPart] = [other.load.part, part.load.part];
-    actions.push({ kind: 'move', machine: spare.id, fromPart, toPart, drain: false });
-    wait.tasks -= add(part, spare.id, spare.type, spare.zone, spare.spot, demand, wait.tasks);
+  const here = part.load.part;
+  let first: Empty | null = null;
+  for (const e of pool) {
+    if (!suits(demand, e)) continue;
+    const sooner = first === null || e.readyInS < first.readyInS;
+    if (sooner || (e.readyInS === first?.readyInS && e.part === here && first.part !== here)) first = e;
+  }
+  if (first) {
+    pool.splice(pool.indexOf(first), 1);
+    wait.tasks -= add(part, first.id, first.type, first.zone, first.spot, demand, wait.tasks);
+    // What is rented but not known by name yet cannot be moved.
+    if (first.part !== here && first.id !== '') {
+      actions.push({ kind: 'move', machine: first.id, fromPart: first.part, toPart: here, drain: false });
+    }
     return true;
   }
   const drainS = DRAIN_S[demand.rank] ?? 60;
