--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -100,7 +100,7 @@
   lend(views, picture, loadOf, actions);
   keep(views, picture, loadOf, actions);
   const quiet = picture.loads.every((load) => load.quietS > QUIET_S);
-  if (quiet) spare(views, picture, loadOf, actions);
+  spare(views, picture, loadOf, quiet, actions);
   const moved = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
   for (const m of picture.machines) {
     const load = loadOf.get(m.id);
@@ -336,6 +336,7 @@
   views: readonly PartView[],
   picture: FleetPicture,
   loadOf: ReadonlyMap<string, MachineLoad>,
+  quiet: boolean,
   actions: FleetAction[],
 ): void {
   for (const part of views) {
@@ -349,9 +350,11 @@
     let worstCost = 0;
     for (const s of running) {
       const used = s.type.cpus - s.free.cpus;
-      // More room than its tasks take: some of it will be needed by what comes next.
-      if (free - s.free.cpus < SPARE_ROOM * used || (loadOf.get(s.id)?.emptyInS ?? 0) < SPARE_FROM_S)
-        continue;
+      // While jobs still come only dear machines are worth the trouble; else more room is asked for than the
+      // tasks take, for some of it is needed by what comes next.
+      if (!quiet && s.spot) continue;
+      const room = quiet ? SPARE_ROOM : 1;
+      if (free - s.free.cpus < room * used || (loadOf.get(s.id)?.emptyInS ?? 0) < SPARE_FROM_S) continue;
       const cost = ((s.spot ? s.type.spotPrice : s.type.price) * s.free.cpus) / s.type.cpus;
       if (cost > worstCost) [worst, worstCost] = [s, cost];
     }
