Ask for the machine types at the start, rent for shorter queues, tidy the peer codec

Cause: submissions met 503 until the leader's catalog came round; waiting work was rented for as if it had 40 to 75 s.

--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -32,7 +32,7 @@
   | { kind: 'retire'; machine: string; part: string; why: string; force: boolean };
 
 /** Within how many seconds the waiting work of an urgency is meant to be done; index as in URGENCIES. */
-const DRAIN_S = [15, 20, 40, 75] as const;
+const DRAIN_S = [15, 15, 30, 50] as const;
 /** An idle machine is kept this long: work comes in waves, and a new one must boot and fetch first. */
 const KEEP_IDLE_MS = { spot: 18_000, ordinary: 6000 };
 /** Once no job has come for this long, little is kept for the next one. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -82,6 +82,8 @@
   start(): void {
     void this.ledger.follow();
     this.member.tell({ kind: 'join' });
+    // Asks for the machine types at once: without them no submission can be taken.
+    this.leader.tell({ kind: 'tick' });
     every(this.clock, TICK_MS, () => this.tick());
     every(this.clock, STATUS_MS, () => this.sendStatus());
   }
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -65,119 +65,53 @@
   | { kind: 'retire'; machine: string; why: string; force: boolean }
   | { kind: 'handover'; part: string; to: string };
 
-const nullableStrings = ['null', { type: 'array', items: 'string' }];
+function record(name: string, fields: Record<string, unknown>): object {
+  return {
+    name,
+    type: 'record',
+    fields: Object.entries(fields).map(([field, type]) => ({ name: field, type })),
+  };
+}
+
+const listOf = (items: unknown): object => ({ type: 'array', items });
+const text = 'string';
+const amount = 'double';
+
+const demandType = record('Demand', {
+  ...{
+    cpus: amount,
+    accelerators: amount,
+    memoryGb: amount,
+    types: ['null', listOf(text)],
+    zone: ['null', text],
+  },
+  ...{
+    spot: 'boolean',
+    rank: 'int',
+    tasks: 'int',
+    seconds: amount,
+    imageGb: amount,
+    slackS: ['null', amount],
+  },
+});
+const machineType = record('MachineLoad', {
+  ...{ machine: text, tasks: 'int', freeCpus: amount, freeMemoryGb: amount, freeAccelerators: amount },
+  ...{ idleMs: amount, silentMs: amount, faulty: 'boolean', noticed: 'boolean', leavingTo: ['null', text] },
+  emptyInS: amount,
+});
+const partType = record('PartLoad', {
+  ...{ part: text, version: 'long', workLeft: amount, backlog: amount, quietS: amount },
+  ...{ demands: listOf(demandType), machines: listOf(machineType) },
+});
+const messages: Record<PeerMessage['kind'], Record<string, unknown>> = {
+  status: { member: text, seq: 'long', storeOk: 'boolean', incarnation: 'long', parts: listOf(partType) },
+  pong: { member: text, seq: 'long', storeOk: 'boolean', promised: 'boolean' },
+  move: { machine: text, toPart: text, drain: 'boolean' },
+  retire: { machine: text, why: text, force: 'boolean' },
+  handover: { part: text, to: text },
+};
 const type = avro.Type.forSchema(
-  [
-    {
-      name: 'status',
-      type: 'record',
-      fields: [
-        { name: 'member', type: 'string' },
-        { name: 'seq', type: 'long' },
-        { name: 'storeOk', type: 'boolean' },
-        { name: 'incarnation', type: 'long' },
-        {
-          name: 'parts',
-          type: {
-            type: 'array',
-            items: {
-              name: 'PartLoad',
-              type: 'record',
-              fields: [
-                { name: 'part', type: 'string' },
-                { name: 'version', type: 'long' },
-                { name: 'workLeft', type: 'double' },
-                { name: 'backlog', type: 'double' },
-                { name: 'quietS', type: 'double' },
-                {
-                  name: 'demands',
-                  type: {
-                    type: 'array',
-                    items: {
-                      name: 'Demand',
-                      type: 'record',
-                      fields: [
-                        { name: 'cpus', type: 'double' },
-                        { name: 'accelerators', type: 'double' },
-                        { name: 'memoryGb', type: 'double' },
-                        { name: 'types', type: nullableStrings },
-                        { name: 'zone', type: ['null', 'string'] },
-                        { name: 'spot', type: 'boolean' },
-                        { name: 'rank', type: 'int' },
-                        { name: 'tasks', type: 'int' },
-                        { name: 'seconds', type: 'double' },
-                        { name: 'imageGb', type: 'double' },
-                        { name: 'slackS', type: ['null', 'double'] },
-                      ],
-                    },
-                  },
-                },
-                {
-                  name: 'machines',
-                  type: {
-                    type: 'array',
-                    items: {
-                      name: 'MachineLoad',
-                      type: 'record',
-                      fields: [
-                        { name: 'machine', type: 'string' },
-                        { name: 'tasks', type: 'int' },
-                        { name: 'freeCpus', type: 'double' },
-                        { name: 'freeMemoryGb', type: 'double' },
-                        { name: 'freeAccelerators', type: 'double' },
-                        { name: 'idleMs', type: 'double' },
-                        { name: 'silentMs', type: 'double' },
-                        { name: 'faulty', type: 'boolean' },
-                        { name: 'noticed', type: 'boolean' },
-                        { name: 'leavingTo', type: ['null', 'string'] },
-                        { name: 'emptyInS', type: 'double' },
-                      ],
-                    },
-                  },
-                },
-              ],
-            },
-          },
-        },
-      ],
-    },
-    {
-      name: 'pong',
-      type: 'record',
-      fields: [
-        { name: 'member', type: 'string' },
-        { name: 'seq', type: 'long' },
-        { name: 'storeOk', type: 'boolean' },
-        { name: 'promised', type: 'boolean' },
-      ],
-    },
-    {
-      name: 'move',
-      type: 'record',
-      fields: [
-        { name: 'machine', type: 'string' },
-        { name: 'toPart', type: 'string' },
-        { name: 'drain', type: 'boolean' },
-      ],
-    },
-    {
-      name: 'retire',
-      type: 'record',
-      fields: [
-        { name: 'machine', type: 'string' },
-        { name: 'why', type: 'string' },
-        { name: 'force', type: 'boolean' },
-      ],
-    },
-    {
-      name: 'handover',
-      type: 'record',
-      fields: [
-        { name: 'part', type: 'string' },
-        { name: 'to', type: 'string' },
-      ],
-    },
-  ] as unknown as avro.Schema,
+  Object.entries(messages).map(([kind, fields]) => record(kind, fields)) as unknown as avro.Schema,
   { wrapUnions: 'auto' } as never,
 );
 
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -11,17 +11,19 @@
 
 type Fault = (world: World) => void;
 
+function refuseOne(w: World, ms: number): void {
+  const node = w.nodes[w.pick(3)];
+  if (!node) return;
+  node.storeRefused = true;
+  w.time.at(w.time.now + ms, () => (node.storeRefused = false));
+}
+
 const faults: Record<string, Fault> = {
   crash: (w) => w.crash(w.pick(3), 3000 + w.pick(4000)),
   'crash and back at once': (w) => w.crash(w.pick(3), 150),
   'crash of all': (w) => [0, 1, 2].forEach((i) => w.crash(i, 5000 + i * 200)),
   'state outage': (w) => w.store.outage(12_000 + w.pick(14_000)),
-  'state refuses one': (w) => {
-    const node = w.nodes[w.pick(3)];
-    if (!node) return;
-    node.storeRefused = true;
-    w.time.at(w.time.now + 20_000 + w.pick(15_000), () => (node.storeRefused = false));
-  },
+  'state refuses one': (w) => refuseOne(w, 20_000 + w.pick(15_000)),
   'cut from workers': (w) => {
     const node = w.nodes[w.pick(3)];
     if (!node) return;
@@ -128,12 +130,7 @@
   {
     name: 'a controller acts after its grant has ended',
     apply: () => patch(Member.prototype, 'alive', { value: () => true }),
-    trouble: (w) => {
-      const node = w.nodes[w.pick(3)];
-      if (!node) return;
-      node.storeRefused = true;
-      w.time.at(w.time.now + 40_000, () => (node.storeRefused = false));
-    },
+    trouble: (w) => refuseOne(w, 40_000),
     breaks: /ran_twice|quota|ran_cancelled/,
   },
   {
@@ -152,12 +149,7 @@
       };
       return patch(Truce.prototype, 'promise', { value: loose });
     },
-    trouble: (w) => {
-      const node = w.nodes[w.pick(3)];
-      if (!node) return;
-      node.storeRefused = true;
-      w.time.at(w.time.now + 40_000, () => (node.storeRefused = false));
-    },
+    trouble: (w) => refuseOne(w, 40_000),
     breaks: /ran_twice|quota|ran_cancelled/,
   },
 ];
