Idle jobs go up one urgency once half of their time is gone and it can still be met

Cause: jobs of the idle urgency waited behind everything until their 250 s were over. Tables for urgency, image and drain choices.

--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -13,7 +13,7 @@
 import { MachineState, taskKey, type Exit, type Presumed } from './machine';
 import { allows, fits, zoneRoom, type Free } from './placement';
 import { walk } from './recovery';
-import { duesOf, Estimates, missed } from './urgency';
+import { duesOf, effectiveRank, Estimates, missed } from './urgency';
 
 enum TaskState {
   Waiting,
@@ -34,6 +34,8 @@
   record: PipelineRecord;
   version: number;
   acceptedAt: number;
+  /** Urgency that it is placed with. */
+  rank: number;
   dues: number[];
   state: JobState;
   tasks: Uint8Array;
@@ -214,6 +216,7 @@
       record,
       version,
       acceptedAt: new Date(record.accepted).getTime(),
+      rank: jobRecord.spec.rank,
       dues: duesOf(jobRecord.spec, this.options.objectives),
       state: 'open',
       tasks,
@@ -551,8 +554,10 @@
     for (const m of this.machines.values()) cpus += this.types().get(m.record.type)?.cpus ?? 0;
     const turns = new Map<Job, { late: number; turn: number }>();
     for (const job of this.jobs.values()) {
+      const ageS = (this.today - job.acceptedAt) / 1000;
       const expectedS = this.estimates.expect(job.spec);
-      const late = missed(job.dues, (this.today - job.acceptedAt) / 1000, expectedS * SURELY_NEEDED);
+      job.rank = effectiveRank(job.spec, job.dues, ageS, expectedS * SURELY_NEEDED);
+      const late = missed(job.dues, ageS, expectedS * SURELY_NEEDED);
       // Arrival order, but a job steps back by a few times what it would take all our machines: one large job
       // ahead of twenty small ones makes twenty users wait for one. The step is bounded, so none starves.
       const turn = job.acceptedAt + (STEP_BACK * 1000 * job.spec.tasks * job.spec.cpus * expectedS) / cpus;
@@ -561,10 +566,7 @@
     const of = (job: Job): { late: number; turn: number } => turns.get(job) ?? { late: 0, turn: 0 };
     this.order = [...this.jobs.values()].sort(
       (a, b) =>
-        a.spec.rank - b.spec.rank ||
-        of(a).late - of(b).late ||
-        of(a).turn - of(b).turn ||
-        (a.ref < b.ref ? -1 : 1),
+        a.rank - b.rank || of(a).late - of(b).late || of(a).turn - of(b).turn || (a.ref < b.ref ? -1 : 1),
     );
     return this.order;
   }
@@ -593,7 +595,7 @@
     const rooms = new Map<string, Quantity>();
     for (let from = 0; from < ready.length;) {
       let to = from;
-      while (to < ready.length && ready[to]?.spec.rank === ready[from]?.spec.rank) to++;
+      while (to < ready.length && ready[to]?.rank === ready[from]?.rank) to++;
       const peers = ready.slice(from, to);
       // First fit in arrival order, in two goes: within an urgency, room on a machine first goes to the jobs
       // whose image it holds, for a fetch costs as much as many a task. Who has waited long is not passed over.
--- a/src/coordination/urgency.ts
+++ b/src/coordination/urgency.ts
@@ -1,4 +1,4 @@
-import { type JobSpec } from '../protocol/jobs';
+import { URGENCIES, type JobSpec } from '../protocol/jobs';
 import { type Objective } from '../protocol/settings';
 
 /** The times, in seconds from its submission, by which a job is expected to be done; earliest first. */
@@ -24,6 +24,16 @@
   return dues.filter((due) => ageS + runS > due).length;
 }
 
+/**
+ * The urgency that a job is placed with: one step up once half of the time to its first due is gone while it can
+ * still be met. Waiting behind everything more urgent until it is too late helps nobody.
+ */
+export function effectiveRank(spec: JobSpec, dues: readonly number[], ageS: number, runS: number): number {
+  const due = dues[0];
+  if (due === undefined || spec.rank < URGENCIES.length - 1) return spec.rank;
+  return ageS > due / 2 && ageS + runS <= due ? spec.rank - 1 : spec.rank;
+}
+
 const ENOUGH = 10;
 
 /** Corrects the owners' estimates of a class by what its tasks really took. */
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -14,6 +14,7 @@
   type PipelineNode,
 } from '../src/coordination/recovery';
 import { PROMISE_MS, Truce } from '../src/coordination/truce';
+import { duesOf, effectiveRank, Estimates, missed } from '../src/coordination/urgency';
 import { type MachineType } from '../src/protocol/cloud';
 import { type JobSpec } from '../src/protocol/jobs';
 import { type Demand, type MachineLoad, type PartLoad } from '../src/protocol/peers';
@@ -318,6 +319,41 @@
   for (const [name, act, expected] of cases) await t.test(name, () => assert.deepEqual(act(), expected));
 });
 
+test('urgency', async (t) => {
+  const idle: JobSpec = { ...spec, rank: 3, deadlineS: 100 };
+  const objectives = [
+    { kind: 'deadline' as const, workload: 'w', times: 1.5 },
+    { kind: 'deadline' as const, workload: 'w', times: 1 },
+    { kind: 'finished' as const, workload: 'w', withinS: 250 },
+    { kind: 'finished' as const, workload: 'other', withinS: 1 },
+  ];
+  const estimates = new Estimates();
+  const cases: [string, () => unknown, unknown][] = [
+    ['all dues of the class, earliest first', () => duesOf(idle, objectives), [100, 150, 250]],
+    ['without objectives the deadline', () => duesOf(idle, []), [100]],
+    ['no deadline, no due', () => duesOf({ ...idle, deadlineS: null }, objectives.slice(0, 2)), []],
+    ['in time for all', () => missed([100, 150], 40, 50), 0],
+    ['too late for the first', () => missed([100, 150], 60, 50), 1],
+    ['too late for all', () => missed([100, 150], 140, 50), 2],
+    ['so late that it comes forward again', () => missed([100, 150], 301, 50), 0],
+    ['idle work keeps its rank at first', () => effectiveRank(idle, [250], 100, 30), 3],
+    ['goes up a step when half of its time is gone', () => effectiveRank(idle, [250], 130, 30), 2],
+    ['but not once it is too late', () => effectiveRank(idle, [250], 230, 30), 3],
+    ['other work keeps its rank', () => effectiveRank({ ...idle, rank: 2 }, [250], 130, 30), 2],
+    ['estimates count until enough was seen', () => estimates.expect(spec), 30],
+    [
+      'then what was seen, within bounds',
+      () => {
+        for (let i = 0; i < 10; i++) estimates.learn('w', 30, 15);
+        for (let i = 0; i < 10; i++) estimates.learn('slow', 30, 900);
+        return [estimates.expect(spec), estimates.expect({ ...spec, workload: 'slow' })];
+      },
+      [15, 75],
+    ],
+  ];
+  for (const [name, act, expected] of cases) await t.test(name, () => assert.deepEqual(act(), expected));
+});
+
 test('teams are split by what they are guaranteed', () => {
   const team = (name: string, cpus: number): Parameters<typeof splitTeams>[0][number] => ({
     ...{ name, guaranteed: { cpus, accelerators: 0 }, limit: { cpus, accelerators: 0 } },
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -102,6 +102,36 @@
       assert.deepEqual(starts(b.report('m', 0)).sort(), ['job-1/0', 'job-2/0', 'job-2/1', 'job-2/2']);
     },
   ],
+  [
+    'room goes first to a job whose image the machine holds, not past one more urgent',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 1, image: 'held', cpus: 2 }));
+      const [start] = b.report('m', 0);
+      assert.ok(start);
+      b.job(spec('job-2', { tasks: 1, image: 'new', cpus: 2 }));
+      b.job(spec('job-3', { tasks: 2, image: 'held', cpus: 1 }));
+      assert.deepEqual(starts(b.report('m', 2000, [shown(start, 'running')])), ['job-3/0', 'job-3/1']);
+      b.job(spec('job-4', { tasks: 1, image: 'new', cpus: 2, rank: 1 }));
+      assert.deepEqual(starts(b.report('m', 4000, [])), ['job-4/0', 'job-1/0']);
+    },
+  ],
+  [
+    'tasks that can save leave a machine that is to go back to the cloud; others may finish',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 1, checkpointS: 30, saveS: 3 }));
+      b.job(spec('job-2', { tasks: 1 }));
+      const live = b.report('m', 0).map((c) => shown(c, 'running'));
+      b.report('m', 2000, live);
+      b.core.drainTo('m', '');
+      const commands = b.report('m', 4000, live);
+      assert.deepEqual(
+        commands.map((c) => `${c.op} ${c.ref}`),
+        ['stop job-1'],
+      );
+    },
+  ],
   [
     "a team's limit holds over all machines",
     (b) => {
