--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -39,6 +39,7 @@
 const QUIET_S = 20;
 const KEEP_QUIET_MS = 4000;
 const SPARE_ROOM = 1.5;
+const NEARLY_EMPTY = 0.7;
 const SPARE_FROM_S = 12;
 /** Bounds one round; the next one goes on. */
 const MOST_ACTIONS = 60;
@@ -350,9 +351,9 @@
     let worstCost = 0;
     for (const s of running) {
       const used = s.type.cpus - s.free.cpus;
-      // While jobs still come only dear machines are worth the trouble; else more room is asked for than the
-      // tasks take, for some of it is needed by what comes next.
-      if (!quiet && s.spot) continue;
+      // While jobs still come only dear or nearly empty machines are worth the trouble; else more room is asked
+      // for than the tasks take, for some of it is needed by what comes next.
+      if (!quiet && s.spot && s.free.cpus < NEARLY_EMPTY * s.type.cpus) continue;
       const room = quiet ? SPARE_ROOM : 1;
       if (free - s.free.cpus < room * used || (loadOf.get(s.id)?.emptyInS ?? 0) < SPARE_FROM_S) continue;
       const cost = ((s.spot ? s.type.spotPrice : s.type.price) * s.free.cpus) / s.type.cpus;
