--- /dev/null
+++ b/test/gateway.test.ts
@@ -0,0 +1,150 @@
+import assert from 'node:assert/strict';
+import { createServer, request, type Server } from 'node:http';
+import { type AddressInfo } from 'node:net';
+import { after, before, test } from 'node:test';
+import pino from 'pino';
+import { gateway, type ReportReply } from '../src/coordination/gateway';
+import { Runs } from '../src/coordination/runs';
+import { Ledger } from '../src/storage/ledger';
+import { type MachineType } from '../src/protocol/cloud';
+import { VirtualTime } from './standin/clock';
+import { StandinStore } from './standin/store';
+
+const log = pino({ level: 'silent' });
+const submission = {
+  ...{ ref: 'job-000412', workload: 'w', crew: 'vision', shape: 'sweep', urgency: 'urgent', pieces: 16 },
+  ...{ cpus: 2, accelerators: 0, memory_gb: 4, build: 'img-07', image_gb: 6.2, models: null, yard: null },
+  ...{ together: true, apart: false, loaners: true, expected_s: 240, snapshot_every_s: 30, snapshot_s: 4 },
+};
+const report = {
+  ...{ velodrome: 'i-1', address: '10.1.0.2:9000', model: 'g8', yard: 'a', loaners: true },
+  ...{ shift: 1, tick: 1, baton: 0, recall_s: null, pieces: [] },
+};
+const type: MachineType = {
+  ...{ name: 'small', cpus: 4, accelerators: 0, memoryGb: 16, cacheGb: 50, fetchGbPerS: 1 },
+  ...{ price: 0.2, spotPrice: 0.08, bootS: 20, zones: ['a'] },
+};
+
+/** The routes over a stand-in store; its time stands still, which here nothing needs to pass. */
+const time = new VirtualTime();
+const store = new StandinStore(time);
+let storeRefuses = false;
+let types: MachineType[] = [type];
+let reply: ReportReply = { kind: 'busy' };
+let server: Server;
+let port = 0;
+
+before(async () => {
+  const call = (method: string, path: string, body: unknown): ReturnType<StandinStore['request']> =>
+    store.request(method, path, body, () => storeRefuses);
+  const clock = time.clock(() => true);
+  const ledger = new Ledger({ call }, { call }, clock, log, {
+    requestRate: 1e6,
+    writeRate: 1e6,
+    controllers: 1,
+  });
+  const limit = { cpus: 8, accelerators: 0 };
+  const teams = new Map([['vision', { name: 'vision', guaranteed: limit, limit }]]);
+  const runs = new Runs(ledger, clock, teams, () => new Map(types.map((t) => [t.name, t])));
+  server = createServer(
+    gateway({
+      runs,
+      log,
+      report: (_, tell) => tell(reply),
+      ready: () => types.length > 0,
+      status: () => ({}),
+    }),
+  );
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  port = (server.address() as AddressInfo).port;
+});
+
+after(() => server.close());
+
+interface Got {
+  status: number;
+  body: Record<string, unknown>;
+  retryAfter: string | undefined;
+}
+
+function ask(method: string, path: string, body?: string): Promise<Got> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request({ host: '127.0.0.1', port, method, path, agent: false }, (incoming) => {
+      let text = '';
+      incoming.on('data', (chunk: Buffer) => (text += chunk.toString()));
+      incoming.on('end', () =>
+        resolve({
+          status: incoming.statusCode ?? 0,
+          body: JSON.parse(text) as Record<string, unknown>,
+          retryAfter: incoming.headers['retry-after'],
+        }),
+      );
+    });
+    outgoing.on('error', reject);
+    outgoing.end(body);
+  });
+}
+
+const post = (change: object): [string, string, string] => [
+  'POST',
+  '/v2/runs',
+  JSON.stringify({ ...submission, ...change }),
+];
+
+test('what users and workers are answered', async (t) => {
+  const cases: [string, [string, string, string?], number, RegExp | null, (() => void)?][] = [
+    ['not JSON', ['POST', '/v2/runs', '{'], 400, /error/],
+    ['no body', ['POST', '/v2/runs', ''], 400, /error/],
+    ['not an object', ['POST', '/v2/runs', '"job"'], 400, /not a JSON object/],
+    ['over 64 KiB', post({ build: 'x'.repeat(70_000) }), 400, /large/],
+    ['a negative amount', post({ cpus: -1 }), 400, /cpus/],
+    ['an unknown team', post({ crew: 'nobody' }), 422, /unknown team nobody/],
+    ['a task that fits nowhere', post({ memory_gb: 64 }), 422, /no allowed machine type/],
+    ["a task over its team's limit", post({ cpus: 9 }), 422, /limit/],
+    ['machine types not known yet', post({}), 503, /machine types/, () => (types = [])],
+    ['a job nobody submitted', ['GET', '/v2/runs/job-000412'], 404, /no such job/, () => (types = [type])],
+    ['a job of no form', ['GET', '/v2/runs/x'], 404, /no such job/],
+    ['the store is closed', post({}), 503, /durable/, () => (storeRefuses = true)],
+    ['asked while it is', ['GET', '/v2/runs/job-000412'], 503, /no answer yet/],
+    ['accepted', post({}), 201, /queued/, () => (storeRefuses = false)],
+    ['submitted again', post({}), 200, /queued/],
+    ['known for ever, whatever its team looks like by now', post({ crew: 'gone' }), 200, /queued/],
+    ['asked', ['GET', '/v2/runs/job-000412'], 200, /queued/],
+    ['cancelled', ['POST', '/v2/runs/job-000412/cancel'], 200, /aborted/],
+    ['cancelled again', ['POST', '/v2/runs/job-000412/cancel'], 200, /aborted/],
+    ['submitted after that', post({}), 200, /aborted/],
+    ['cancelling a job nobody submitted', ['POST', '/v2/runs/job-9/cancel'], 404, /no such job/],
+    ['a malformed report', ['POST', '/hello', '{}'], 400, /report/],
+    ['a report when nothing can be said', ['POST', '/hello', JSON.stringify(report)], 503, null],
+    [
+      'a report of a machine of another controller',
+      ['POST', '/hello', JSON.stringify(report)],
+      421,
+      /"dispatcher":"velodrome-2"/,
+      () => (reply = { kind: 'redirect', owner: 'velodrome-2' }),
+    ],
+    [
+      'a report of our machine',
+      ['POST', '/hello', JSON.stringify(report)],
+      200,
+      /"baton":7,"orders":\[\{"order":"start","piece":"job-1\/2","try":3\}\]/,
+      () =>
+        (reply = {
+          kind: 'answer',
+          token: 7,
+          commands: [{ op: 'start', ref: 'job-1', index: 2, attempt: 3 }],
+        }),
+    ],
+    ['health', ['GET', '/ready'], 200, null],
+    ['an unknown path', ['GET', '/other'], 404, /no such path/],
+  ];
+  for (const [name, [method, path, body], status, shown, prepare] of cases) {
+    await t.test(name, async () => {
+      prepare?.();
+      const got = await ask(method, path, body);
+      assert.equal(got.status, status, JSON.stringify(got.body));
+      if (shown) assert.match(JSON.stringify(got.body), shown);
+      if (status === 503 && path.startsWith('/v2')) assert.equal(got.retryAfter, '1');
+    });
+  }
+});
