--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -267,9 +267,8 @@
   private sendStatus(): void {
     const leader = (this.ledger.entries.get(keys.leader)?.value as MemberRecord | undefined)?.member;
     const now = this.clock.steady();
-    const today = this.clock.today().getTime();
     const parts: PartLoad[] = [];
-    for (const part of this.parts.values()) if (part.active) parts.push(part.core.load(now, today));
+    for (const part of this.parts.values()) if (part.active) parts.push(part.core.load(now));
     const status = {
       kind: 'status' as const,
       member: this.settings.member,
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -348,6 +348,7 @@
   private async fetchCatalog(): Promise<void> {
     const answer = await this.cloud.call('GET', '/catalog', undefined, CLOUD_MS);
     const types = answer?.status === 200 ? parseCatalog(answer.body) : null;
+    if (answer?.status === 200 && !types) this.log.info('malformed catalog');
     if (!types) return;
     this.types = new Map(types.map((t) => [t.name, t]));
     // The others learn the machine types from here, also while the cloud does not answer.
@@ -367,6 +368,7 @@
     for (;;) {
       const answer = await this.cloud.call('GET', listPath(after), undefined, CLOUD_MS);
       const page = answer?.status === 200 ? parseMachineList(answer.body) : null;
+      if (answer?.status === 200 && !page) this.log.info('malformed list of machines');
       if (!page) {
         this.listing = false;
         return;
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -14,7 +14,6 @@
   /** Set once the task is to be stopped. */
   stop: { graceS: number } | null;
   saving: boolean;
-  plannedAt: number;
   /** When it was first seen running (image present), or null. */
   runningSince: number | null;
 }
@@ -178,7 +177,6 @@
       sentIn: { session: this.session, seq: this.seq },
       stop: null,
       saving: false,
-      plannedAt: now,
       runningSince: running ? now : null,
     };
     this.tasks.set(taskKey(ref, index), task);
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -129,7 +129,7 @@
       known.locked = record.phase === 'returning';
       return;
     }
-    // Lent to this part after we took it over: it came with nothing on it (see `release`).
+    // Lent to this part after we took it over: it came with nothing on it (see `lock`).
     const clean = version > this.version;
     const machine = new MachineState(id, record, version, clean, now);
     machine.locked = record.phase === 'returning';
@@ -546,7 +546,7 @@
     return room;
   }
 
-  /** The open jobs in their turn; `today` is the time of day. */
+  /** The open jobs in their turn. */
   private sorted(): Job[] {
     if (!this.orderStale) return this.order;
     this.orderStale = false;
@@ -668,7 +668,6 @@
       sentIn: { session: 0, seq: 0 },
       stop: null,
       saving: false,
-      plannedAt: now,
       runningSince: null,
     });
     machine.images.add(job.spec.image);
@@ -681,7 +680,7 @@
 
   // What the leader and the operators are told.
 
-  load(now: number, today: number): PartLoad {
+  load(now: number): PartLoad {
     const demands = new Map<string, Demand>();
     const rooms = new Map<string, Quantity>();
     for (const job of this.ready()) {
@@ -693,19 +692,17 @@
       if (tasks === 0) continue;
       room.cpus -= tasks * spec.cpus;
       room.accelerators -= tasks * spec.accelerators;
-      const slackS = spec.deadlineS === null ? null : spec.deadlineS - (today - job.acceptedAt) / 1000;
       const expectedS = this.estimates.expect(spec);
       const key = JSON.stringify([spec.workload, spec.cpus, spec.memoryGb, spec.types, spec.zone, spec.spot]);
       const known = demands.get(key);
       if (known) {
         known.seconds = (known.seconds * known.tasks + expectedS * tasks) / (known.tasks + tasks);
         known.tasks += tasks;
-        if (slackS !== null) known.slackS = Math.min(known.slackS ?? slackS, slackS);
       } else {
-        const { cpus, accelerators, memoryGb, types, zone, spot, rank, imageGb } = spec;
+        const { cpus, accelerators, memoryGb, types, zone, spot, rank } = spec;
         demands.set(key, {
-          ...{ cpus, accelerators, memoryGb, types, zone, spot, rank, imageGb },
-          ...{ tasks, seconds: expectedS, slackS },
+          ...{ cpus, accelerators, memoryGb, types, zone, spot, rank },
+          ...{ tasks, seconds: expectedS },
         });
       }
     }
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -13,10 +13,6 @@
   tasks: number;
   /** How long one of them is expected to run. */
   seconds: number;
-  /** Gigabytes of image to fetch before. */
-  imageGb: number;
-  /** Seconds until the deadline, or null. */
-  slackS: number | null;
 }
 
 /** How a part's owner sees one of its machines. */
@@ -91,7 +87,6 @@
     tasks: 'int',
     seconds: amount,
     imageGb: amount,
-    slackS: ['null', amount],
   },
 });
 const machineType = record('MachineLoad', {
--- a/src/storage/ledger.ts
+++ b/src/storage/ledger.ts
@@ -109,7 +109,7 @@
     if (answer === 'expired') return { kind: 'refused' };
     if (answer === null) return { kind: 'unknown' };
     if (answer.status === 200) {
-      const revision = parseRevision(answer.body);
+      const revision = this.understood(parseRevision(answer.body), paths.txn);
       return revision === null ? { kind: 'unknown' } : { kind: 'applied', revision };
     }
     if (answer.status === 409) return { kind: 'conflict', failed: parseFailed(answer.body) ?? [] };
@@ -125,7 +125,7 @@
     const answer = await this.ask('GET', paths.entry(key), undefined, Priority.Read, withinMs, 0);
     if (answer === null || answer === 'expired') return { kind: 'failed' };
     if (answer.status === 404) return { kind: 'absent' };
-    const entry = answer.status === 200 ? parseEntry(answer.body) : null;
+    const entry = answer.status === 200 ? this.understood(parseEntry(answer.body), key) : null;
     return entry ? { kind: 'entry', entry } : { kind: 'failed' };
   }
 
@@ -158,7 +158,7 @@
       // Watches are counted as requests; they wait for their turn like the others.
       await this.turn(Priority.Decision, 0, Number.POSITIVE_INFINITY);
       const answer = await this.watchTransport.call('GET', path, undefined, HOLD_MS + 3000);
-      const watched = answer?.status === 200 ? parseWatch(answer.body) : null;
+      const watched = answer?.status === 200 ? this.understood(parseWatch(answer.body), 'watch') : null;
       if (watched) {
         this.lastOk = this.clock.steady();
         for (const change of watched.changes) this.apply(change);
@@ -312,6 +312,12 @@
     return this.writes.take(now, entry.writes, spare);
   }
 
+  /** A malformed answer counts as none, but somebody should know. */
+  private understood<T>(parsed: T | null, what: string): T | null {
+    if (parsed === null) this.log.info({ what }, 'malformed answer of the state service');
+    return parsed;
+  }
+
   private pause(ms: number): Promise<void> {
     return new Promise((resolve) => this.clock.after(ms, resolve));
   }
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -148,7 +148,7 @@
 function demand(change: Partial<Demand>): Demand {
   return {
     ...{ cpus: 1, accelerators: 0, memoryGb: 2, types: null, zone: null, spot: true, rank: 2 },
-    ...{ tasks: 10, seconds: 60, imageGb: 1, slackS: null, ...change },
+    ...{ tasks: 10, seconds: 60, ...change },
   };
 }
 
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -274,7 +274,7 @@
         commands.map((c) => shown(c, 'exited', 'error')),
       );
       assert.deepEqual(starts(commands), []);
-      assert.equal(b.core.load(now, 0).machines[0]?.faulty, true);
+      assert.equal(b.core.load(now).machines[0]?.faulty, true);
       b.machine('n', FRESH);
       assert.equal(starts(b.report('n', (now += 2000))).length, 4);
     },
