--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -148,3 +148,16 @@
     });
   }
 });
+
+test('submissions beyond what can wait for the store are shed at once', async () => {
+  const never = { call: () => new Promise<never>(() => undefined) };
+  const clock = time.clock(() => true);
+  const ledger = new Ledger(never, never, clock, log, { requestRate: 1e6, writeRate: 1e6, controllers: 1 });
+  const limit = { cpus: 8, accelerators: 0 };
+  const teams = new Map([['vision', { name: 'vision', guaranteed: limit, limit }]]);
+  const runs = new Runs(ledger, clock, teams, () => new Map([['small', type]]));
+  for (let n = 0; n < 120; n++) void runs.submit({ ...submission, ref: `job-${n}` });
+  const answer = await runs.submit({ ...submission, ref: 'job-1000' });
+  assert.equal(answer.status, 429);
+  assert.ok((answer.retryAfter ?? 0) >= 1);
+});
