--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -1,9 +1,17 @@
 import assert from 'node:assert/strict';
-import { createServer, request, type Server } from 'node:http';
-import { type AddressInfo } from 'node:net';
+import { createServer, request } from 'node:http';
+import { createConnection, type AddressInfo, type Server } from 'node:net';
 import { after, before, test } from 'node:test';
 import pino from 'pino';
-import { gateway, type ReportReply } from '../src/coordination/gateway';
+import {
+  BODY_LIMIT,
+  fastReports,
+  gateway,
+  REPORT_PATH,
+  type GatewayParts,
+  type ReportReply,
+} from '../src/coordination/gateway';
+import { serveFront } from '../src/transport/front';
 import { Runs } from '../src/coordination/runs';
 import { Book } from '../src/storage/book';
 import { Intake } from '../src/storage/intake';
@@ -64,15 +72,14 @@
   const part = { teams: ['vision'], owner: 'velodrome-0', incarnation: 1 };
   await store.request('POST', '/multi', { if: [], apply: [{ set: 'hb/part/p0', v: part }] }, () => false);
   void ledger.follow();
-  server = createServer(
-    gateway({
-      runs,
-      log,
-      report: (_, tell) => tell(reply),
-      ready: () => types.length > 0,
-      status: () => ({}),
-    }),
-  );
+  const parts: GatewayParts = {
+    runs,
+    log,
+    report: (_, tell) => tell(reply),
+    ready: () => types.length > 0,
+    status: () => ({}),
+  };
+  server = serveFront(REPORT_PATH, fastReports(parts), createServer(gateway(parts)), BODY_LIMIT);
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   port = (server.address() as AddressInfo).port;
 });
@@ -189,3 +196,51 @@
   assert.equal(answer.status, 429);
   assert.ok((answer.retryAfter ?? 0) >= 1);
 });
+
+/** Sends these pieces one after the other and gives back all that comes. */
+function speak(pieces: string[]): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const socket = createConnection(port, '127.0.0.1');
+    let heard = '';
+    socket.setNoDelay(true);
+    socket.on('data', (chunk: Buffer) => (heard += chunk.toString()));
+    socket.on('close', () => resolve(heard));
+    socket.on('error', reject);
+    const next = (): void => {
+      const piece = pieces.shift();
+      if (piece !== undefined) socket.write(piece, () => setImmediate(next));
+    };
+    next();
+  });
+}
+
+test('reports are read straight from the socket, anything else by the general server', async (t) => {
+  const body = JSON.stringify(report);
+  const head = (fields = '', path = '/hello', length = body.length): string =>
+    `POST ${path} HTTP/1.1\r\nHost: a\r\nContent-Length: ${length}\r\n${fields}\r\n`;
+  const close = 'Connection: close\r\n';
+  const chunked = `POST /hello HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n${close}\r\n`;
+  const asked = 'GET /ready HTTP/1.1\r\nHost: a\r\n';
+  const cases: [string, string[], RegExp][] = [
+    ['at once', [head(close) + body], /^HTTP\/1.1 200 OK[^]*"baton":7/],
+    [
+      'in pieces',
+      [head(close).slice(0, 9), head(close).slice(9) + body.slice(0, 5), body.slice(5)],
+      /"baton":7/,
+    ],
+    [
+      'one after the other',
+      [head() + body, head(close) + body],
+      /"baton":7[^]*HTTP\/1.1 200 OK[^]*"baton":7/,
+    ],
+    ['not JSON', [head(close, '/hello', 3) + '{{{'], /^HTTP\/1.1 400 /],
+    ['chunked', [`${chunked}${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`], /200 OK[^]*"baton":7/],
+    ['another path after a report', [head() + body, `${asked}${close}\r\n`], /"baton":7[^]*200 OK[^]*\{\}/],
+    ['another method first', [`${asked}${close}\r\n`], /^HTTP\/1.1 200 OK/],
+    ['too large', [head(close, '/hello', 70_000) + 'x'.repeat(70_000)], /^HTTP\/1.1 400 [^]*large/],
+    ['no HTTP at all', ['hello?\r\n\r\n'], /^HTTP\/1.1 400 /],
+  ];
+  for (const [name, pieces, expected] of cases) {
+    await t.test(name, async () => assert.match(await speak(pieces), expected));
+  }
+});
