--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -43,7 +43,9 @@
 const SPARE_FROM_S = 12;
 /** Bounds one round; the next one goes on. */
 const MOST_ACTIONS = 60;
-const READY_STEP_S = 5;
+/** What a move costs: the worker is sent on, and shows the new owner that it hears it. */
+const MOVE_S = 6;
+const SETTLE_MS = 3000;
 const LATE_BOOT = 1.7;
 const SILENT_MS = 30_000;
 /** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
@@ -131,8 +133,10 @@
 /** A machine that holds nothing: any part may have it. */
 interface Empty extends Supply {
   part: string;
-  /** Seconds until it can take tasks, roughly: small differences are no reason to move it. */
+  /** Seconds until it can take tasks where it is. */
   readyInS: number;
+  /** It may have got something to do since its part's owner last told: not to be taken away yet. */
+  settling: boolean;
 }
 
 /** Machines that are idle or booting. Some take several times as long to boot as they should: not those. */
@@ -144,9 +148,9 @@
     const late = m.booting && type !== undefined && m.ageMs > LATE_BOOT * type.bootS * 1000;
     if (!type || late || m.returning || unusable(state) || (!m.booting && state?.tasks !== 0)) continue;
     const leftS = m.booting ? Math.max(0, type.bootS - m.ageMs / 1000) : 0;
-    const readyInS = Math.ceil(leftS / READY_STEP_S) * READY_STEP_S;
     const free = { cpus: type.cpus, accelerators: type.accelerators, memoryGb: type.memoryGb };
-    pool.push({ id: m.id, part: m.part, free, type, zone: m.zone, spot: m.spot, readyInS });
+    const settling = !m.booting && (state?.idleMs ?? 0) < SETTLE_MS;
+    pool.push({ id: m.id, part: m.part, free, type, zone: m.zone, spot: m.spot, readyInS: leftS, settling });
   }
   return pool;
 }
@@ -216,10 +220,11 @@
   if (wait.tasks <= 0) return false;
   const here = part.load.part;
   let first: Empty | null = null;
+  let firstS = Number.POSITIVE_INFINITY;
   for (const e of pool) {
-    if (!suits(demand, e)) continue;
-    const sooner = first === null || e.readyInS < first.readyInS;
-    if (sooner || (e.readyInS === first?.readyInS && e.part === here && first.part !== here)) first = e;
+    if (!suits(demand, e) || (e.part !== here && e.settling)) continue;
+    const readyS = e.part === here ? e.readyInS : Math.max(MOVE_S, e.readyInS) + MOVE_S;
+    if (readyS < firstS) [first, firstS] = [e, readyS];
   }
   if (first) {
     pool.splice(pool.indexOf(first), 1);
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -83,7 +83,8 @@
     if (known) {
       known.record = record;
       known.version = version;
-      known.locked = record.phase === 'returning';
+      // Never unlocked here: it may be on its way to another part, and a start now would run there unknown.
+      known.locked ||= record.phase === 'returning';
       return;
     }
     // Lent to this part after we took it over: it came with nothing on it (see `lock`).
--- a/src/storage/book.ts
+++ b/src/storage/book.ts
@@ -184,9 +184,9 @@
     for (const [id, entry] of now) {
       const known = this.machines.get(id);
       if (known && known.version > entry.version) continue;
-      const same = known?.version === entry.version && known.key === key;
       this.machines.set(id, { ...entry, key });
-      if (!same) this.events.next({ kind: 'machine', id, entry });
+      // A value that was only written anew is no news of the machines in it.
+      if (known?.version !== entry.version) this.events.next({ kind: 'machine', id, entry });
     }
     for (const id of before?.keys() ?? []) {
       // Moved machines may already stand in their new place.
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { PartJob } from '../src/coordination/job';
 import { MachineState } from '../src/coordination/machine';
 import { Member } from '../src/coordination/member';
 import { PartCore } from '../src/coordination/part';
 import { Truce } from '../src/coordination/truce';
+import { type JobProgress } from '../src/protocol/records';
+import { Book } from '../src/storage/book';
 import { World } from './standin/world';
 
 const DAY_MS = 240_000;
@@ -18,6 +21,13 @@
   w.time.at(w.time.now + ms, () => (node.storeRefused = false));
 }
 
+function cutApart(w: World, ms: number): void {
+  const node = w.nodes[w.pick(3)];
+  if (!node) return;
+  node.apart = true;
+  w.time.at(w.time.now + ms, () => (node.apart = false));
+}
+
 const faults: Record<string, Fault> = {
   crash: (w) => w.crash(w.pick(3), 3000 + w.pick(4000)),
   'crash and back at once': (w) => w.crash(w.pick(3), 150),
@@ -37,6 +47,18 @@
     worker.hung = true;
     w.time.at(w.time.now + 4000 + w.pick(16_000), () => (worker.hung = false));
   },
+  'machine hears nothing': (w) => {
+    const workers = [...w.cloud.workers.values()];
+    const worker = workers[w.pick(Math.max(1, workers.length))];
+    if (!worker) return;
+    worker.deaf = true;
+    w.time.at(w.time.now + 10_000 + w.pick(25_000), () => (worker.deaf = false));
+  },
+  'cut from the state service and peers': (w) => cutApart(w, 8000 + w.pick(25_000)),
+  'all back at once, some again in the election': (w) => {
+    for (const i of [0, 1, 2]) w.crash(i, 100 + w.pick(300));
+    for (const i of [0, 1, 2]) w.time.at(w.time.now + 400 + w.pick(900), () => w.crash(i, 100 + w.pick(300)));
+  },
   'machine taken': (w) => {
     const names = [...w.cloud.workers.keys()];
     const name = names[w.pick(Math.max(1, names.length))];
@@ -54,6 +76,7 @@
 
 async function day(seed: number, perDay: number): Promise<World> {
   const world = new World(seed);
+  world.calmFrom = QUIET_FROM_MS + 20_000;
   const names = Object.keys(faults);
   for (let n = 0; n < 26; n++) {
     world.time.at(2500 + world.pick(QUIET_FROM_MS - 10_000), () => world.submit(n));
@@ -96,18 +119,21 @@
   return world;
 }
 
+/** Half of the machines hang while all controllers start anew. */
+function crashWhileSilent(w: World): void {
+  for (const worker of w.cloud.workers.values()) {
+    worker.hung = w.pick(2) === 0;
+    w.time.at(w.time.now + 9000, () => (worker.hung = false));
+  }
+  for (let i = 0; i < 3; i++) w.crash(i, 1000);
+}
+
 /** Each guard taken away must break a rule on such a day, or the days above would prove nothing. */
 const sabotages: { name: string; apply: () => () => void; trouble: Fault; breaks: RegExp }[] = [
   {
     name: 'new work starts while machines taken over have not seen the new token',
     apply: () => patch(PartCore.prototype, 'unresolved', { get: () => 0 }),
-    trouble: (w) => {
-      for (const worker of w.cloud.workers.values()) {
-        worker.hung = w.pick(2) === 0;
-        w.time.at(w.time.now + 9000, () => (worker.hung = false));
-      }
-      for (let i = 0; i < 3; i++) w.crash(i, 1000);
-    },
+    trouble: crashWhileSilent,
     breaks: /ran_twice|quota/,
   },
   {
@@ -133,6 +159,37 @@
     trouble: (w) => refuseOne(w, 40_000),
     breaks: /ran_twice|quota|ran_cancelled/,
   },
+  {
+    name: 'tasks that an earlier owner may have started are started again before all machines have spoken',
+    apply: () => {
+      const real = PartJob.prototype.startable;
+      const eager = function (this: PartJob, n: number, _settled: boolean, now: number): number[] {
+        return real.call(this, n, true, now);
+      };
+      return patch(PartJob.prototype, 'startable', { value: eager });
+    },
+    trouble: crashWhileSilent,
+    breaks: /ran_twice/,
+  },
+  {
+    name: 'the next owner is not told how far tasks may have been started',
+    apply: () => {
+      const real = Book.prototype.progressOf;
+      const forgetful = function (this: Book, ref: string): JobProgress | null {
+        const progress = real.call(this, ref);
+        return progress && { ...progress, mark: 0 };
+      };
+      return patch(Book.prototype, 'progressOf', { value: forgetful });
+    },
+    trouble: crashWhileSilent,
+    breaks: /ran_twice/,
+  },
+  {
+    name: 'a controller cut from the state service and peers goes on answering its workers',
+    apply: () => patch(Member.prototype, 'alive', { value: () => true }),
+    trouble: (w) => cutApart(w, 40_000),
+    breaks: /ran_twice|quota|ran_cancelled/,
+  },
   {
     name: 'a promise is given though the store answers',
     apply: () => {
@@ -155,9 +212,12 @@
 ];
 
 function patch(target: object, key: string, descriptor: PropertyDescriptor): () => void {
-  const real = Object.getOwnPropertyDescriptor(target, key) as PropertyDescriptor;
+  const real = Object.getOwnPropertyDescriptor(target, key);
   Object.defineProperty(target, key, { ...descriptor, configurable: true });
-  return () => Object.defineProperty(target, key, real);
+  return () => {
+    if (real) Object.defineProperty(target, key, real);
+    else Reflect.deleteProperty(target, key);
+  };
 }
 
 test('the days notice a missing guard', async (t) => {
--- a/test/standin/fleet.ts
+++ b/test/standin/fleet.ts
@@ -37,6 +37,8 @@
   baton = 0;
   up = true;
   hung = false;
+  /** Its reports arrive, but nothing that it is answered. */
+  deaf = false;
   /** Every task fails. */
   sick = false;
   private node = 0;
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -15,6 +15,8 @@
   storeRefused: boolean;
   /** Cut from the workers: their reports are held and come late. */
   cut: boolean;
+  /** Cut from the state service and the other controllers, but not from the workers. */
+  apart: boolean;
 }
 
 interface UserJob {
@@ -28,11 +30,15 @@
   final: string | null;
   cancelledAt: number | null;
   asked: boolean;
+  /** When a question about it was last answered. */
+  answeredAt: number;
 }
 
 const NODES = 3;
 const LEASE_MS = 12_000;
 const CANCEL_MS = 37_000;
+/** Troubles over, a job of which nothing is said for so long is forgotten. */
+const FORGOTTEN_MS = 75_000;
 const TEAMS = [
   { name: 'north', cpus: 8, cpus_max: 16 },
   { name: 'south', cpus: 8, cpus_max: 12 },
@@ -72,6 +78,8 @@
   readonly broken: string[] = [];
   readonly completed = new Set<string>();
   started = 0;
+  /** When all troubles are over. */
+  calmFrom = Number.POSITIVE_INFINITY;
   private lives = 0;
   private random: prand.RandomGenerator;
 
@@ -90,7 +98,7 @@
     this.cloud = new StandinCloud(this.time, hooks, KINDS, ['a', 'b'], 10, 3000, 5000);
     for (let i = 0; i < 3; i++) this.cloud.open('small', i === 0 ? 'a' : 'b', false, 0);
     for (let i = 0; i < NODES; i++) {
-      this.nodes.push({ controller: null, up: false, storeRefused: false, cut: false });
+      this.nodes.push({ controller: null, up: false, storeRefused: false, cut: false, apart: false });
       this.boot(i);
     }
   }
@@ -111,9 +119,11 @@
       body: unknown,
       timeoutMs: number,
     ): Promise<HttpAnswer | null> =>
-      this.overNetwork(timeoutMs, isUp, () =>
-        this.store.request(method, path, body, () => node.storeRefused),
-      );
+      node.apart
+        ? new Promise((resolve) => this.time.at(this.time.now + timeoutMs, () => resolve(null)))
+        : this.overNetwork(timeoutMs, isUp, () =>
+            this.store.request(method, path, body, () => node.storeRefused || node.apart),
+          );
     const controller = new Controller(
       parseSettings(settingsOf(i)),
       this.time.clock(isUp, 1 + (i - 1) * 0.0004),
@@ -130,7 +140,7 @@
           const k = Number(member.split('-')[1]);
           this.time.at(this.time.now + 2, () => {
             const peer = this.nodes[k];
-            if (!isUp() || !peer?.up) return;
+            if (!isUp() || !peer?.up || peer.apart || node.apart) return;
             peer.controller?.fromPeer(bytes, (reply) =>
               this.time.at(this.time.now + 2, () => {
                 if (isUp()) controller.fromPeer(reply, () => undefined);
@@ -175,30 +185,36 @@
     return new Promise((resolve) => {
       this.time.at(this.time.now + 4000, () => resolve(null));
       const node = this.nodes[i] as Node;
-      const arrive = (): void => {
-        if (!node.up || !node.controller) return;
-        const parsed = parseReport(JSON.parse(JSON.stringify(report)));
-        if (!parsed) throw new Error(`${worker.name} sent no report`);
-        node.controller.report(parsed, (reply) => {
-          const answer: HttpAnswer =
-            reply.kind === 'answer'
-              ? { status: 200, body: reportAnswer(reply.token, reply.commands) }
-              : reply.kind === 'redirect'
-                ? { status: 421, body: redirectAnswer(reply.owner) }
-                : { status: 503, body: {} };
-          this.time.at(this.time.now + 2, () => resolve(answer));
+      const arrive = (): void =>
+        this.hear(i, worker, report, (answer) => {
+          // What reaches us from a machine need not mean that it hears us.
+          if (!worker.deaf) this.time.at(this.time.now + 2, () => resolve(answer));
         });
-      };
       if (!node.up) this.time.at(this.time.now + 5, () => resolve(null));
       else if (node.cut) this.time.at(this.time.now + 5000 + this.pick(15_000), arrive);
       else {
         this.time.at(this.time.now + 2, arrive);
-        // Late copies of old messages do arrive.
-        if (this.pick(25) === 0) this.time.at(this.time.now + 3000 + this.pick(20_000), arrive);
+        // Copies of old reports come late, by seconds to well over a lease, and to any controller.
+        if (this.pick(25) === 0) {
+          const copyTo = this.pick(this.nodes.length);
+          this.time.at(this.time.now + 1000 + this.pick(40_000), () => this.hear(copyTo, worker, report));
+        }
       }
     });
   }
 
+  private hear(i: number, worker: Worker, report: object, tell?: (answer: HttpAnswer) => void): void {
+    const node = this.nodes[i] as Node;
+    if (!node.up || !node.controller) return;
+    const parsed = parseReport(JSON.parse(JSON.stringify(report)));
+    if (!parsed) throw new Error(`${worker.name} sent no report`);
+    node.controller.report(parsed, (reply) => {
+      if (reply.kind === 'answer') tell?.({ status: 200, body: reportAnswer(reply.token, reply.commands) });
+      else if (reply.kind === 'redirect') tell?.({ status: 421, body: redirectAnswer(reply.owner) });
+      else tell?.({ status: 503, body: {} });
+    });
+  }
+
   private spec(piece: string): UserJob | undefined {
     return this.jobs.find((j) => j.ref === piece.split('/')[0]);
   }
@@ -235,7 +251,7 @@
     const job: UserJob = {
       ref: `job-${String(n).padStart(6, '0')}`,
       crew: team.name,
-      pieces: 1 + this.pick(12),
+      pieces: 1 + this.pick(this.pick(4) === 0 ? 30 : 12),
       cpus: 1 + this.pick(2),
       loaners: this.pick(4) > 0,
       together: this.pick(3) === 0,
@@ -243,6 +259,7 @@
       final: null,
       cancelledAt: null,
       asked: false,
+      answeredAt: this.time.now,
     };
     this.jobs.push(job);
     const { ref, crew, pieces, cpus, loaners, together } = job;
@@ -298,6 +315,9 @@
   private poll(job: UserJob): void {
     void this.inTime(this.controller().runs.status(job.ref), 2000).then((answer) => {
       if (answer.status === 404) this.broken.push(`forgotten: ${job.ref} at ${this.time.now}`);
+      if (answer.status === 200) job.answeredAt = this.time.now;
+      else if (this.time.now - Math.max(job.answeredAt, this.calmFrom) > FORGOTTEN_MS)
+        this.broken.push(`forgotten: nothing is said of ${job.ref} at ${this.time.now}`);
       if (answer.status === 200) this.told(job, (answer.body as { status: string }).status);
     });
     if (this.time.now < 400_000) this.time.at(this.time.now + 1500, () => this.poll(job));
