--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -328,6 +328,57 @@
       assert.deepEqual(starts(b.report('m', 0)), ['job-1/2']);
     },
   ],
+  [
+    // Its value was rewritten for another machine's sake, which unlocked it: tasks were started on a machine that
+    // was on its way to another part.
+    'a machine that is on its way elsewhere gets nothing, whatever is told of its record',
+    (b) => {
+      b.machine('m', FRESH);
+      assert.equal(b.core.lock('m'), true);
+      b.machine('m', FRESH + 1);
+      b.job(spec('job-1'));
+      assert.deepEqual(starts(b.report('m', 0)), []);
+      b.core.unlock('m');
+      assert.equal(starts(b.report('m', 2000)).length, 2);
+    },
+  ],
+  [
+    // Its answers were lost: each start waited there until it was proved absent, again and again.
+    'a machine whose reports arrive but that does not hear us gets nothing until it shows a new token',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 1 }));
+      const silent = FRESH * 1024;
+      assert.equal(starts(b.report('m', 0, [], { token: silent })).length, 1);
+      for (const now of [2000, 4000, 6000])
+        assert.deepEqual(starts(b.report('m', now, [], { token: silent })), []);
+      assert.deepEqual(starts(b.report('m', 20_000, [], { session: 2, seq: 1, token: silent })), []);
+      b.machine('n', FRESH);
+      assert.equal(starts(b.report('n', 20_100)).length, 1, 'it runs elsewhere');
+      b.job(spec('job-2', { tasks: 1 }));
+      const heard = b.report('m', 22_000, [], { session: 2, seq: 2, token: silent + 2 });
+      assert.equal(starts(heard).length, 1, 'it heals');
+    },
+  ],
+  [
+    'tasks beyond the mark wait until the store has it; after a take-over they are known to be nowhere',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('silent', OLD);
+      b.job(spec('job-1', { tasks: 4, cpus: 0.5 }), OLD, '', 2);
+      assert.deepEqual(starts(b.report('m', 0)), []);
+      const { jobs, marksRaised } = b.core.progress(100);
+      assert.equal(marksRaised, true);
+      b.core.recorded(jobs);
+      assert.deepEqual(starts(b.report('m', 2000)), ['job-1/2', 'job-1/3']);
+      b.core.tick(13_000, 0);
+      assert.deepEqual(
+        starts(b.report('m', 13_100, [])),
+        [],
+        'what was sent did not show: no proof that it hears',
+      );
+    },
+  ],
   [
     'an emptied machine is given to the part that waits for it, unless that is taken back',
     (b) => {
