--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -43,7 +43,9 @@
 const SPARE_FROM_S = 12;
 /** Bounds one round; the next one goes on. */
 const MOST_ACTIONS = 60;
-const READY_STEP_S = 5;
+/** What a move costs: the worker is sent on, and shows the new owner that it hears it. */
+const MOVE_S = 6;
+const SETTLE_MS = 3000;
 const LATE_BOOT = 1.7;
 const SILENT_MS = 30_000;
 /** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
@@ -75,6 +77,8 @@
 interface Wait {
   demand: Demand;
   tasks: number;
+  /** How many of the part's machines were looked through: room there only shrinks. */
+  looked: number;
 }
 
 /** What to rent, move and return, given what waits and what there is. Pure. */
@@ -89,13 +93,15 @@
   const pool = empties(picture, loadOf);
   const views = picture.loads.map((load) => view(load, picture, loadOf, pool));
   for (const part of views) cover(part);
+  const inZone = new Map<string, number>();
+  for (const m of picture.machines) if (!m.returning) inZone.set(m.zone, (inZone.get(m.zone) ?? 0) + 1);
   for (let rank = 0; rank < URGENCIES.length; rank++) {
     const waits = views.flatMap((part) => part.waits.map((wait) => ({ part, wait })));
     const group = waits.filter(({ wait }) => wait.demand.rank === rank);
     for (const { part, wait } of group) part.ahead += workOf(wait.demand, wait.demand.tasks);
     // The more urgent first, and one machine each in turn: quick ones are few, and none should get them all.
     for (let open = group; open.length > 0 && actions.length < MOST_ACTIONS;) {
-      open = open.filter(({ part, wait }) => provide(part, wait, pool, picture, actions));
+      open = open.filter(({ part, wait }) => provide(part, wait, pool, picture, inZone, actions));
     }
   }
   lend(views, picture, loadOf, actions);
@@ -127,8 +133,10 @@
 /** A machine that holds nothing: any part may have it. */
 interface Empty extends Supply {
   part: string;
-  /** Seconds until it can take tasks, roughly: small differences are no reason to move it. */
+  /** Seconds until it can take tasks where it is. */
   readyInS: number;
+  /** It may have got something to do since its part's owner last told: not to be taken away yet. */
+  settling: boolean;
 }
 
 /** Machines that are idle or booting. Some take several times as long to boot as they should: not those. */
@@ -140,9 +148,9 @@
     const late = m.booting && type !== undefined && m.ageMs > LATE_BOOT * type.bootS * 1000;
     if (!type || late || m.returning || unusable(state) || (!m.booting && state?.tasks !== 0)) continue;
     const leftS = m.booting ? Math.max(0, type.bootS - m.ageMs / 1000) : 0;
-    const readyInS = Math.ceil(leftS / READY_STEP_S) * READY_STEP_S;
     const free = { cpus: type.cpus, accelerators: type.accelerators, memoryGb: type.memoryGb };
-    pool.push({ id: m.id, part: m.part, free, type, zone: m.zone, spot: m.spot, readyInS });
+    const settling = !m.booting && (state?.idleMs ?? 0) < SETTLE_MS;
+    pool.push({ id: m.id, part: m.part, free, type, zone: m.zone, spot: m.spot, readyInS: leftS, settling });
   }
   return pool;
 }
@@ -170,7 +178,7 @@
   const demands = [...load.demands].sort((a, b) => a.rank - b.rank);
   return {
     load,
-    waits: demands.map((demand) => ({ demand, tasks: demand.tasks })),
+    waits: demands.map((demand) => ({ demand, tasks: demand.tasks, looked: 0 })),
     supply,
     ahead: load.workLeft,
   };
@@ -187,9 +195,13 @@
 
 /** Sets what waits against the room on machines that the part uses already. */
 function cover(part: PartView): void {
-  for (const wait of part.waits) {
-    for (const s of part.supply)
-      if (suits(wait.demand, s)) wait.tasks -= fill(s.free, wait.demand, wait.tasks);
+  for (const wait of part.waits) useRoom(part, wait);
+}
+
+function useRoom(part: PartView, wait: Wait): void {
+  for (; wait.looked < part.supply.length && wait.tasks > 0; wait.looked++) {
+    const s = part.supply[wait.looked] as Supply;
+    if (suits(wait.demand, s)) wait.tasks -= fill(s.free, wait.demand, wait.tasks);
   }
 }
 
@@ -199,18 +211,20 @@
   wait: Wait,
   pool: Empty[],
   picture: FleetPicture,
+  inZone: Map<string, number>,
   actions: FleetAction[],
 ): boolean {
   const { demand } = wait;
   // Room left on machines that this part has been given meanwhile.
-  for (const s of part.supply) if (suits(demand, s)) wait.tasks -= fill(s.free, demand, wait.tasks);
+  useRoom(part, wait);
   if (wait.tasks <= 0) return false;
   const here = part.load.part;
   let first: Empty | null = null;
+  let firstS = Number.POSITIVE_INFINITY;
   for (const e of pool) {
-    if (!suits(demand, e)) continue;
-    const sooner = first === null || e.readyInS < first.readyInS;
-    if (sooner || (e.readyInS === first?.readyInS && e.part === here && first.part !== here)) first = e;
+    if (!suits(demand, e) || (e.part !== here && e.settling)) continue;
+    const readyS = e.part === here ? e.readyInS : Math.max(MOVE_S, e.readyInS) + MOVE_S;
+    if (readyS < firstS) [first, firstS] = [e, readyS];
   }
   if (first) {
     pool.splice(pool.indexOf(first), 1);
@@ -230,11 +244,12 @@
   // Idle work waits for cheap machines as long as there are any that will come to it.
   const idle = demand.rank === URGENCIES.length - 1;
   const patient = able > 0 && demand.spot && (idle || part.ahead / drainS <= ORDINARY_PATIENCE * able);
-  const order = cheapest(demand, missing, wait.tasks, picture, !patient, actions);
+  const order = cheapest(demand, missing, wait.tasks, picture, !patient, inZone);
   const type = order && picture.types.get(order.type);
   if (!order || !type) return false;
   wait.tasks -= add(part, '', type, order.zone, order.spot, demand, wait.tasks);
   actions.push({ kind: 'rent', part: part.load.part, order });
+  inZone.set(order.zone, (inZone.get(order.zone) ?? 0) + 1);
   return true;
 }
 
@@ -372,7 +387,7 @@
   tasks: number,
   picture: FleetPicture,
   ordinaryToo: boolean,
-  actions: readonly FleetAction[],
+  inZone: ReadonlyMap<string, number>,
 ): RentalOrder | null {
   let best: RentalOrder | null = null;
   let bestCost = Number.POSITIVE_INFINITY;
@@ -386,10 +401,7 @@
         const order = { type: type.name, zone, spot, count: 1 };
         if (!allows(demand, order) || picture.soldOut(order)) continue;
         if (!spot && !ordinaryToo) continue;
-        const sameZone =
-          picture.machines.filter((m) => m.zone === zone && !m.returning).length +
-          actions.filter((a) => a.kind === 'rent' && a.order.zone === zone).length;
-        const cost = (spot ? type.spotPrice : type.price) / useful + sameZone * 1e-6;
+        const cost = (spot ? type.spotPrice : type.price) / useful + (inZone.get(zone) ?? 0) * 1e-6;
         if (cost < bestCost) [best, bestCost] = [order, cost];
       }
     }
