--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -42,7 +42,8 @@
 const NEARLY_EMPTY = 0.7;
 const SPARE_FROM_S = 12;
 /** Bounds one round; the next one goes on. */
-const MOST_ACTIONS = 60;
+const MOST_MOVES = 60;
+const MOST_RENTS = 400;
 /** What a move costs: the worker is sent on, and shows the new owner that it hears it. */
 const MOVE_S = 6;
 const SETTLE_MS = 3000;
@@ -100,7 +101,7 @@
     const group = waits.filter(({ wait }) => wait.demand.rank === rank);
     for (const { part, wait } of group) part.ahead += workOf(wait.demand, wait.demand.tasks);
     // The more urgent first, and one machine each in turn: quick ones are few, and none should get them all.
-    for (let open = group; open.length > 0 && actions.length < MOST_ACTIONS;) {
+    for (let open = group; open.length > 0 && !tooMany(actions);) {
       open = open.filter(({ part, wait }) => provide(part, wait, pool, picture, inZone, actions));
     }
   }
@@ -121,6 +122,11 @@
   return actions;
 }
 
+function tooMany(actions: readonly FleetAction[]): boolean {
+  const moves = actions.filter((a) => a.kind === 'move').length;
+  return moves >= MOST_MOVES || actions.length - moves >= MOST_RENTS;
+}
+
 function broken(m: FleetMachine, load: MachineLoad | undefined, picture: FleetPicture): string | null {
   if (m.failed) return 'failed';
   if (load?.faulty) return 'fails every task';
@@ -180,7 +186,7 @@
     load,
     waits: demands.map((demand) => ({ demand, tasks: demand.tasks, looked: 0 })),
     supply,
-    ahead: load.workLeft,
+    ahead: load.workLeft.reduce((sum, w) => sum + w, 0),
   };
 }
 
@@ -281,48 +287,62 @@
   return part.supply.reduce((sum, s) => sum + s.type.cpus, 0);
 }
 
-/** Seconds in which a part would have done all its work with these CPUs. */
-function horizon(part: PartView, cpus: number): number {
-  return (part.load.workLeft + part.load.backlog) / Math.max(1, cpus);
+/** Seconds in which a part would have done its work down to this urgency with these CPUs. */
+function horizon(part: PartView, cpus: number, rank: number): number {
+  let work = 0;
+  for (let r = 0; r <= rank; r++) work += (part.load.workLeft[r] ?? 0) + (part.load.backlog[r] ?? 0);
+  return work / Math.max(1, cpus);
+}
+
+/** Of what still waits, the most pressing urgency. */
+function pressing(part: PartView): number {
+  return Math.min(...part.waits.filter((w) => w.tasks > 0).map((w) => w.demand.rank));
 }
 
-/** Lets the part that would be done first empty machines for the one that would be done last. */
+/**
+ * Lets the part that would be done first empty machines for the one that would be done last. Each urgency is looked
+ * at by itself, the more urgent first: one part's idle work is no reason to let another's urgent work wait.
+ */
 function lend(
   views: readonly PartView[],
   picture: FleetPicture,
   loadOf: ReadonlyMap<string, MachineLoad>,
   actions: FleetAction[],
 ): void {
-  const byHorizon = [...views].sort((a, b) => horizon(a, cpusOf(a)) - horizon(b, cpusOf(b)));
-  const donor = byHorizon[0];
-  const taker = byHorizon[byHorizon.length - 1];
-  if (!donor || !taker || donor === taker) return;
-  const unmet = taker.waits.filter((w) => w.tasks > 0);
-  let missing = unmet.reduce((sum, w) => sum + w.tasks * w.demand.cpus, 0);
+  const cpus = new Map(views.map((v) => [v, cpusOf(v)]));
   // What is being emptied already counts for the one that gets it.
-  let leaving = 0;
   for (const m of picture.machines) {
-    if (loadOf.get(m.id)?.leavingTo === taker.load.part) leaving += picture.types.get(m.type)?.cpus ?? 0;
+    const taker = views.find((v) => v.load.part === loadOf.get(m.id)?.leavingTo);
+    if (taker) cpus.set(taker, (cpus.get(taker) ?? 0) + (picture.types.get(m.type)?.cpus ?? 0));
   }
-  missing -= leaving;
-  let [has, gets] = [cpusOf(donor), cpusOf(taker) + leaving];
   const taken = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
-  // Emptiest first: what is free or still booting moves at once.
-  const offers = donor.supply
-    .filter((s) => !taken.has(s.id) && loadOf.has(s.id) && unmet.some((w) => suits(w.demand, s)))
-    .filter((s) => !loadOf.get(s.id)?.noticed && (loadOf.get(s.id)?.emptyInS ?? 0) < DRAIN_WITHIN_S)
-    .sort((a, b) => b.free.cpus / b.type.cpus - a.free.cpus / a.type.cpus);
-  for (const s of offers) {
-    const slow = horizon(taker, gets);
-    // Work beyond the teams' limits cannot use more machines.
-    if (missing <= 0 || slow < LEND_FROM_S || slow < LEND_RATIO * horizon(donor, has)) return;
-    // It must not turn the two round.
-    if (horizon(donor, has - s.type.cpus) > horizon(taker, gets + s.type.cpus)) continue;
-    has -= s.type.cpus;
-    gets += s.type.cpus;
-    missing -= s.type.cpus;
-    const [fromPart, toPart] = [donor.load.part, taker.load.part];
-    actions.push({ kind: 'move', machine: s.id, fromPart, toPart, drain: true });
+  for (let rank = 0; rank < URGENCIES.length; rank++) {
+    const at = (v: PartView): number => horizon(v, cpus.get(v) ?? 0, rank);
+    const waiting = views.filter((v) => v.waits.some((w) => w.tasks > 0 && w.demand.rank === rank));
+    const taker = waiting.sort((a, b) => at(b) - at(a))[0];
+    const donor = views.filter((v) => v !== taker).sort((a, b) => at(a) - at(b))[0];
+    if (!taker || !donor) continue;
+    const unmet = taker.waits.filter((w) => w.tasks > 0 && w.demand.rank <= rank);
+    let missing = unmet.reduce((sum, w) => sum + w.tasks * w.demand.cpus, 0);
+    missing -= (cpus.get(taker) ?? 0) - cpusOf(taker);
+    // Emptiest first: what is free or still booting moves at once.
+    const offers = donor.supply
+      .filter((s) => !taken.has(s.id) && loadOf.has(s.id) && unmet.some((w) => suits(w.demand, s)))
+      .filter((s) => !loadOf.get(s.id)?.noticed && (loadOf.get(s.id)?.emptyInS ?? 0) < DRAIN_WITHIN_S)
+      .sort((a, b) => b.free.cpus / b.type.cpus - a.free.cpus / a.type.cpus);
+    for (const s of offers) {
+      const [has, gets] = [cpus.get(donor) ?? 0, cpus.get(taker) ?? 0];
+      // Work beyond the teams' limits cannot use more machines.
+      if (missing <= 0 || at(taker) < LEND_FROM_S || at(taker) < LEND_RATIO * at(donor)) break;
+      // It must not turn the two round.
+      if (horizon(donor, has - s.type.cpus, rank) > horizon(taker, gets + s.type.cpus, rank)) continue;
+      cpus.set(donor, has - s.type.cpus);
+      cpus.set(taker, gets + s.type.cpus);
+      missing -= s.type.cpus;
+      taken.add(s.id);
+      const [fromPart, toPart] = [donor.load.part, taker.load.part];
+      actions.push({ kind: 'move', machine: s.id, fromPart, toPart, drain: true });
+    }
   }
 }
 
@@ -339,10 +359,11 @@
     const from = byPart.get(m.part);
     if (to === undefined || to === null || !from) continue;
     const taker = byPart.get(to);
+    const rank = taker ? pressing(taker) : Infinity;
     const wanted =
       to === LEAVES_FLEET
         ? from.waits.length === 0
-        : taker && horizon(taker, cpusOf(taker)) > horizon(from, cpusOf(from));
+        : taker && rank < Infinity && horizon(taker, cpusOf(taker), rank) > horizon(from, cpusOf(from), rank);
     if (!wanted) actions.push({ kind: 'move', machine: m.id, fromPart: m.part, toPart: m.part, drain: true });
   }
 }
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -38,7 +38,7 @@
   | { kind: 'load'; load: PartLoad; at: number }
   | { kind: 'unknown-machine'; report: Report }
   | { kind: 'listed'; machines: ListedMachine[]; at: number }
-  | { kind: 'rented'; order: RentalOrder; part: string; answer: HttpAnswer | null }
+  | { kind: 'rented'; order: RentalOrder; parts: string[]; answer: HttpAnswer | null }
   | { kind: 'returned'; machines: string[]; ok: boolean };
 
 export interface CloudTransport {
@@ -57,6 +57,9 @@
 const LIST_MS_PER_MACHINE = 3;
 const SCALE_MS = 500;
 const RETURN_AT_ONCE = 100;
+const RENT_AT_ONCE = 50;
+/** A part's report costs so little that two controllers carry all; more parts only leave machines on the wrong side. */
+const MOST_PARTS = 2;
 const GATHER_RECORDS_MS = 60;
 /** Machines whose records share a value when they are first written. */
 const RECORDS_A_VALUE = 50;
@@ -220,7 +223,7 @@
       if (parts.length === 0) {
         // One controller stays free of parts: it leads, and is the spare that takes over. Fewer, larger parts
         // also leave less of the fleet idle on the wrong side.
-        const split = splitTeams(this.settings.teams, Math.max(1, peers - 1));
+        const split = splitTeams(this.settings.teams, Math.max(1, Math.min(MOST_PARTS, peers - 1)));
         for (const [i, teams] of split.entries()) {
           const owner = least();
           if (owner) await this.give(`p${i}`, teams, owner, members, 0, null);
@@ -515,13 +518,14 @@
     });
     this.tellFleet(loads, machines, now);
     const owners = new Map(parts.map((p) => [p.id, p.record.owner]));
-    const rents = new Map<string, { part: string; order: RentalOrder }>();
+    // Calls are few: machines of a kind are asked for together, whichever parts wait for them.
+    const wanted = new Map<string, { kind: RentalOrder; parts: string[] }>();
     for (const action of actions) {
       if (action.kind === 'rent') {
-        const key = JSON.stringify([action.part, kindKey(action.order)]);
-        const known = rents.get(key);
-        if (known) known.order.count++;
-        else rents.set(key, { part: action.part, order: { ...action.order } });
+        const key = kindKey(action.order);
+        const known = wanted.get(key);
+        if (known) known.parts.push(action.part);
+        else wanted.set(key, { kind: action.order, parts: [action.part] });
       } else if (action.kind === 'move') {
         const owner = owners.get(action.fromPart);
         const { machine, toPart, drain } = action;
@@ -532,9 +536,9 @@
         if (owner) this.sendTo(owner, { kind: 'retire', machine, why, force });
       }
     }
-    for (const { part, order } of rents.values()) {
-      if (!this.pacer.take(now, 1)) break;
-      this.rent(part, { ...order, count: Math.min(50, order.count) });
+    for (const { kind, parts: takers } of wanted.values()) {
+      for (let i = 0; i < takers.length && this.pacer.take(now, 1); i += RENT_AT_ONCE)
+        this.rent(kind, takers.slice(i, i + RENT_AT_ONCE));
     }
   }
 
@@ -554,46 +558,54 @@
         booting,
         cpus,
         free,
-        workLeft: Math.round(load.workLeft),
+        workLeft: load.workLeft.map(Math.round).join(' '),
         waiting,
       };
     });
     this.log.info({ parts }, 'fleet');
   }
 
-  private rent(part: string, order: RentalOrder): void {
-    const key = JSON.stringify([part, order.type, order.zone, order.spot]);
-    this.rentsInFlight.set(key, (this.rentsInFlight.get(key) ?? 0) + order.count);
+  /** Asks for one machine of a kind for each of these parts. */
+  private rent(kind: RentalOrder, parts: string[]): void {
+    for (const part of parts) this.countRents(part, kind, 1);
     // The leader's version is in no other leader's names, so no name is ever used twice.
     const name = `${this.member.name}-${this.leaderVersion}-${++this.rentals}`;
+    const order = { ...kind, count: parts.length };
     void this.cloud.call('POST', '/rentals', rentalBody(name, order), CLOUD_MS).then((answer) => {
-      this.tell({ kind: 'rented', order, part, answer });
+      this.tell({ kind: 'rented', order, parts, answer });
     });
   }
 
+  private countRents(part: string, { type, zone, spot }: RentalOrder, n: number): void {
+    const key = JSON.stringify([part, type, zone, spot]);
+    const left = (this.rentsInFlight.get(key) ?? 0) + n;
+    if (left > 0) this.rentsInFlight.set(key, left);
+    else this.rentsInFlight.delete(key);
+  }
+
   private takeRental(
-    { order, part, answer }: { order: RentalOrder; part: string; answer: HttpAnswer | null },
+    { order, parts, answer }: { order: RentalOrder; parts: string[]; answer: HttpAnswer | null },
     now: number,
   ): void {
-    const key = JSON.stringify([part, order.type, order.zone, order.spot]);
     const settle = (): void => {
-      const left = (this.rentsInFlight.get(key) ?? 0) - order.count;
-      if (left > 0) this.rentsInFlight.set(key, left);
-      else this.rentsInFlight.delete(key);
+      for (const part of parts) this.countRents(part, order, -1);
     };
     const rented = answer?.status === 200 ? parseRental(answer.body) : null;
-    // The list may have brought some of them sooner than the answer.
-    const machines = rented?.filter((id) => !this.book.machines.has(id) && !this.recording.has(id));
-    this.log.info({ part, order, status: answer?.status ?? null, rented }, 'rental');
+    this.log.info({ order, status: answer?.status ?? null, rented: rented?.length ?? null }, 'rental');
     if (answer?.status === 503 || (rented && rented.length < order.count)) {
       this.soldOut.set(kindKey(order), now + SOLD_OUT_MS);
     }
-    if (machines && machines.length > 0) {
-      const { type, zone, spot } = order;
-      for (const id of machines) this.seenOf(id, now);
-      // Until the records have come round they are still counted as on their way.
-      void this.record(machines.map((id) => [id, { part, phase: 'kept', type, zone, spot }])).then(settle);
-    } else settle();
+    // The list may have brought some of them sooner than the answer.
+    const machines = rented?.filter((id) => !this.book.machines.has(id) && !this.recording.has(id)) ?? [];
+    if (machines.length === 0) return settle();
+    const { type, zone, spot } = order;
+    for (const id of machines) this.seenOf(id, now);
+    const records = machines.map((id, i): [string, MachineRecord] => [
+      id,
+      { part: parts[i % parts.length] ?? '', phase: 'kept', type, zone, spot },
+    ]);
+    // Until the records have come round they are still counted as on their way.
+    void this.record(records).then(settle);
   }
 }
 
--- a/src/coordination/part-load.ts
+++ b/src/coordination/part-load.ts
@@ -1,3 +1,4 @@
+import { URGENCIES } from '../protocol/jobs';
 import { type Demand, type PartLoad } from '../protocol/peers';
 import { type Quantity } from '../protocol/settings';
 import { type PartCore } from './part';
@@ -9,9 +10,9 @@
 /** What a part tells the leader: what waits within its teams' limits, and how its machines stand. */
 export function partLoad(part: PartCore, now: number): PartLoad {
   const { workLeft, emptyInS } = running(part, now);
-  let backlog = 0;
+  const backlog = URGENCIES.map(() => 0);
   for (const { waiting, spec } of part.sorted())
-    if (waiting > 0) backlog += waiting * spec.cpus * part.estimates.expect(spec);
+    backlog[spec.rank] = (backlog[spec.rank] ?? 0) + waiting * spec.cpus * part.estimates.expect(spec);
   return {
     part: part.id,
     version: part.version,
@@ -66,9 +67,9 @@
 }
 
 /** CPU seconds that the tasks now out still take, and when each machine has none any more. */
-function running(part: PartCore, now: number): { workLeft: number; emptyInS: Map<string, number> } {
+function running(part: PartCore, now: number): { workLeft: number[]; emptyInS: Map<string, number> } {
   const emptyInS = new Map<string, number>();
-  let workLeft = 0;
+  const workLeft = URGENCIES.map(() => 0);
   for (const machine of part.machines.values()) {
     let last = 0;
     for (const { spec, runningSince } of machine.tasks.values()) {
@@ -76,7 +77,7 @@
       const ran = runningSince === null ? 0 : (now - runningSince) / 1000;
       const expectedS = part.estimates.expect(spec);
       const left = Math.max(expectedS - ran, expectedS * LEAST_LEFT);
-      workLeft += spec.cpus * left;
+      workLeft[spec.rank] = (workLeft[spec.rank] ?? 0) + spec.cpus * left;
       last = Math.max(last, left);
     }
     if (last > 0) emptyInS.set(machine.id, last);
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -41,10 +41,10 @@
   version: number;
   demands: Demand[];
   machines: MachineLoad[];
-  /** CPU seconds that the tasks now out are expected to take still. */
-  workLeft: number;
-  /** CPU seconds that wait, also beyond what the teams' limits allow now. */
-  backlog: number;
+  /** CPU seconds that the tasks now out are expected to take still, by urgency. */
+  workLeft: number[];
+  /** CPU seconds that wait, also beyond what the teams' limits allow now, by urgency. */
+  backlog: number[];
   /** Seconds since a job last came. */
   quietS: number;
 }
@@ -94,7 +94,7 @@
   emptyInS: amount,
 });
 const partType = record('PartLoad', {
-  ...{ part: text, version: 'long', workLeft: amount, backlog: amount, quietS: amount },
+  ...{ part: text, version: 'long', workLeft: listOf(amount), backlog: listOf(amount), quietS: amount },
   ...{ demands: listOf(demandType), machines: listOf(machineType) },
 });
 const messages: Record<PeerMessage['kind'], Record<string, unknown>> = {
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -132,8 +132,8 @@
   const part = {
     part: 'p0',
     version: 9,
-    workLeft: 1,
-    backlog: 2,
+    workLeft: [1, 0, 0, 0],
+    backlog: [0, 2, 0, 0],
     quietS: 3,
     demands: [demand],
     machines: [machine],
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -165,8 +165,9 @@
   machines: MachineLoad[],
   change: Partial<PartLoad> = {},
 ): PartLoad {
-  const backlog = demands.reduce((sum, d) => sum + d.tasks * d.cpus * d.seconds, 0);
-  return { part: id, version: 1, demands, machines, workLeft: 0, backlog, quietS: 0, ...change };
+  const backlog = [0, 0, 0, 0];
+  for (const d of demands) backlog[d.rank]! += d.tasks * d.cpus * d.seconds;
+  return { part: id, version: 1, demands, machines, workLeft: [0, 0, 0, 0], backlog, quietS: 0, ...change };
 }
 
 function machine(id: string, change: Partial<FleetMachine> = {}): FleetMachine {
@@ -216,7 +217,7 @@
     [
       'an idle machine of another part moves instead of a rental',
       {
-        loads: [part('p0', [], [load('i-1')]), part('p1', [demand({ tasks: 4 })], [])],
+        loads: [part('p0', [], [load('i-1', { idleMs: 4000 })]), part('p1', [demand({ tasks: 4 })], [])],
         machines: [machine('i-1')],
       },
       (a) => a.length === 1 && a[0]?.kind === 'move' && a[0].toPart === 'p1' && !a[0].drain,
@@ -238,7 +239,9 @@
       'a part with little work lends what empties soon, when nothing can be rented',
       {
         loads: [
-          part('p0', [], [load('i-1', { ...busy, emptyInS: 5 }), load('i-2', busy)], { workLeft: 100 }),
+          part('p0', [], [load('i-1', { ...busy, emptyInS: 5 }), load('i-2', busy)], {
+            workLeft: [0, 0, 100, 0],
+          }),
           part('p1', [demand({ tasks: 200 })], [load('i-3', busy)]),
         ],
         machines: [machine('i-1'), machine('i-2'), machine('i-3', { part: 'p1' })],
@@ -246,6 +249,19 @@
       },
       (a) => a.length === 1 && a[0]?.kind === 'move' && a[0].machine === 'i-1' && a[0].drain,
     ],
+    [
+      // One part's idle work held a thousand CPUs while another's urgent work waited: their whole work took as long.
+      'urgent work of one part counts for more than idle work of another',
+      {
+        loads: [
+          part('p0', [demand({ rank: 3, tasks: 500 })], [load('i-1', { ...busy, emptyInS: 5 })]),
+          part('p1', [demand({ rank: 1, tasks: 20 })], [load('i-3', busy)]),
+        ],
+        machines: [machine('i-1'), machine('i-3', { part: 'p1' })],
+        soldOut: () => true,
+      },
+      (a) => a.length === 1 && a[0]?.kind === 'move' && a[0].machine === 'i-1' && a[0].toPart === 'p1',
+    ],
     [
       'a drain that the work since has made wrong is taken back',
       {
