--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -163,9 +163,10 @@
     for (const [machine, entry] of book.machines)
       if (entry.record.part === id) actor.tell({ kind: 'machine', id: machine, entry });
     for (const { spec, acceptedAt, version: accepted, state } of book.jobs.values()) {
-      if (state !== 'open' || !core.owns(spec.team)) continue;
+      if (!core.owns(spec.team)) continue;
       const progress = book.progressOf(spec.ref);
-      actor.tell({ kind: 'job', spec, acceptedAt, version: accepted, progress });
+      if (state === 'open') actor.tell({ kind: 'job', spec, acceptedAt, version: accepted, progress });
+      else if (spec.pipeline) actor.tell({ kind: 'ended', spec, version: accepted, state });
     }
     this.parts.set(id, actor);
     this.log.info(
--- a/src/coordination/job.ts
+++ b/src/coordination/job.ts
@@ -26,10 +26,13 @@
   mark: number;
   /** Tasks before this one may have been started by an earlier owner. */
   readonly suspectBelow: number;
+  private readonly firstMark: number;
   /** No waiting task has a smaller number. */
   private first = 0;
   /** Urgency that it is placed with. */
   rank: number;
+  /** Its pipeline does not let it begin, or go on. */
+  held = false;
 
   constructor(
     readonly spec: JobSpec,
@@ -49,10 +52,23 @@
     }
     for (const state of this.tasks) if (state === TaskState.Durable) this.done++;
     this.waiting = spec.tasks - this.done;
-    this.mark = Math.min(spec.tasks, progress?.mark ?? FIRST_MARK);
+    // Of a job that may not be run again it must be known whether it was begun: nothing starts before that is kept.
+    this.firstMark = Math.min(spec.tasks, this.onceOnly ? 0 : FIRST_MARK);
+    this.mark = progress?.mark ?? this.firstMark;
     this.suspectBelow = suspect ? this.mark : 0;
   }
 
+  /** Its tasks may not be run a second time. */
+  get onceOnly(): boolean {
+    return this.spec.pipeline?.reExecutable === false;
+  }
+
+  /** Tasks that an earlier owner may have started are neither done nor anywhere. */
+  get interrupted(): boolean {
+    for (let i = 0; i < this.suspectBelow; i++) if (this.tasks[i] === TaskState.Waiting) return true;
+    return false;
+  }
+
   get finished(): boolean {
     return this.done === this.tasks.length;
   }
@@ -117,6 +133,7 @@
   /** Up to `n` waiting tasks that may start now; `settled`: nothing of earlier owners can be anywhere unseen. */
   startable(n: number, settled: boolean, now: number): number[] {
     const found: number[] = [];
+    if (this.held) return found;
     while (this.first < this.tasks.length && this.tasks[this.first] !== TaskState.Waiting) this.first++;
     for (let i = this.first; i < this.mark && found.length < n; i++) {
       if (this.tasks[i] !== TaskState.Waiting || (!settled && i < this.suspectBelow)) continue;
@@ -126,6 +143,14 @@
     return found;
   }
 
+  /**
+   * Whether the store must know anything of it yet. Once its mark was raised it must, for good: left out of a value
+   * that was written anew, it would count as never begun for an owner that has read the store only since.
+   */
+  get hasProgress(): boolean {
+    return this.mark > this.firstMark || this.done > 0 || this.out.size > 0;
+  }
+
   /** The smallest mark that lets `n` more waiting tasks start. */
   markFor(n: number): number {
     let left = n;
--- a/src/coordination/part-actor.ts
+++ b/src/coordination/part-actor.ts
@@ -1,7 +1,8 @@
 import { Actor } from '../transport/actor';
 import { type Clock } from '../transport/clock';
 import { type Log } from '../transport/log';
-import { type Book } from '../storage/book';
+import { type Book, type BookedProgress } from '../storage/book';
+import { ProgressSlots } from '../storage/progress';
 import { editFleet } from '../storage/fleets';
 import { Priority, type Ledger } from '../storage/ledger';
 import {
@@ -22,8 +23,9 @@
 export type PartMessage =
   | { kind: 'report'; report: Report; reply: (answer: { token: number; commands: Command[] } | null) => void }
   | { kind: 'machine'; id: string; entry: FleetEntry | null }
-  | { kind: 'job'; spec: JobSpec; acceptedAt: number; version: number; progress: JobProgress | null }
+  | { kind: 'job'; spec: JobSpec; acceptedAt: number; version: number; progress: BookedProgress | null }
   | { kind: 'closed'; ref: string; state: JobState }
+  | { kind: 'ended'; spec: JobSpec; version: number; state: JobState }
   | { kind: 'tick' }
   | { kind: 'move'; machine: string; toPart: string; drain: boolean }
   | { kind: 'retire'; machine: string; why: string; force: boolean }
@@ -57,7 +59,7 @@
   private finishing = false;
   private recording = false;
   private recordedAt = Number.NEGATIVE_INFINITY;
-  private readonly recordedText: string[] = [];
+  private readonly slots: ProgressSlots;
 
   constructor(
     readonly core: PartCore,
@@ -70,6 +72,7 @@
     private readonly options: PartActorOptions,
   ) {
     super((error) => log.error({ error, part: core.id }, 'part failed'));
+    this.slots = new ProgressSlots(options.valueBytes);
   }
 
   get active(): boolean {
@@ -92,11 +95,16 @@
         else this.core.dropMachine(message.id);
         return;
       case 'job':
+        if (message.progress) this.slots.put(message.spec.ref, message.progress.slot);
         this.core.putJob(message.spec, message.acceptedAt, message.version, message.progress, now);
         return;
       case 'closed':
+        this.slots.drop(message.ref);
         this.core.closeJob(message.ref, message.state);
         return;
+      case 'ended':
+        this.core.putEnded(message.spec, message.state, message.version);
+        return;
       case 'tick':
         if (!this.active) return;
         this.core.tick(now, this.clock.today().getTime());
@@ -165,41 +173,24 @@
     const { jobs, marksRaised } = this.core.progress(now);
     if (!marksRaised && now - this.recordedAt < PROGRESS_MS) return;
     this.recordedAt = now;
-    const values = this.pack(jobs).slice(0, txnOps);
-    const writes: Write[] = [];
-    values.forEach(({ text, value }, n) => {
-      if (text !== this.recordedText[n]) writes.push({ put: keys.progress(this.core.id, n), value });
-    });
-    if (writes.length === 0) return;
+    const values = this.slots.changed(jobs).slice(0, txnOps);
+    if (values.length === 0) return;
     this.recording = true;
     const priority = marksRaised ? Priority.Decision : Priority.Progress;
-    const result = await this.ledger.txn([this.mine], writes, priority, PROGRESS_MS);
+    const writes = values.map(({ slot, jobs: inSlot }) => ({
+      put: keys.progress(this.core.id, slot),
+      value: encodeProgress(inSlot),
+    }));
+    // An earlier try that is applied late must not bring lower marks back.
+    const unchanged = writes.map(({ put }) => ({ key: put, version: this.ledger.version(put) }));
+    const result = await this.ledger.txn([this.mine, ...unchanged], writes, priority, PROGRESS_MS);
+    if (result.kind === 'applied') await this.ledger.caughtUp(result.revision, PROGRESS_MS);
     this.recording = false;
     if (result.kind !== 'applied') return;
-    values.forEach(({ text }, n) => (this.recordedText[n] = text));
-    this.tell({ kind: 'recorded', jobs: new Map(values.flatMap((v) => [...v.jobs])) });
-  }
-
-  private pack(jobs: ReadonlyMap<string, JobProgress>): {
-    jobs: Map<string, JobProgress>;
-    value: object;
-    text: string;
-  }[] {
-    const groups: Map<string, JobProgress>[] = [];
-    let room = 0;
-    for (const [ref, progress] of jobs) {
-      const size = JSON.stringify(encodeProgress(new Map([[ref, progress]]))).length;
-      if (size > room || groups.length === 0) {
-        groups.push(new Map());
-        room = this.options.valueBytes - 2;
-      }
-      room -= size;
-      groups[groups.length - 1]?.set(ref, progress);
+    for (const value of values) {
+      this.slots.written(value);
+      this.tell({ kind: 'recorded', jobs: value.jobs });
     }
-    return groups.map((group) => {
-      const value = encodeProgress(group);
-      return { jobs: group, value, text: JSON.stringify(value) };
-    });
   }
 
   // Machines that go to another part or back to the cloud.
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -7,8 +7,8 @@
 import { PartJob } from './job';
 import { MachineState, taskKey, type Exit, type Presumed } from './machine';
 import { partLoad } from './part-load';
+import { PartPipelines } from './pipelines';
 import { allows, fits, zoneRoom, type Free } from './placement';
-import { walk } from './recovery';
 import { duesOf, effectiveRank, Estimates, missed } from './urgency';
 
 export interface PartOptions {
@@ -30,9 +30,8 @@
 const ATTEMPTS_PER_INCARNATION = 1_000_000;
 /** Marks are raised ahead of what can start now by this share of the part's machines. */
 const MARK_AHEAD = 0.5;
-/** What a job's progress takes in a stored value beside its ranges. */
-const PROGRESS_BYTES = 60;
-const MAX_RANGES = 2000;
+/** Of a stored value, what the ranges of one job may take. */
+const RANGES_SHARE = 0.25;
 
 /**
  * The pure core of a part: the jobs of its teams and the machines lent to it. No tasks of these teams are on
@@ -54,6 +53,7 @@
   private unresolvedCount = 0;
   private unresolvedFree: Quantity = { cpus: 0, accelerators: 0 };
   private readonly ended = new Map<string, FinalState>();
+  private readonly pipelines = new PartPipelines();
   readonly counters = { started: 0, done: 0, lost: 0, failed: 0, reports: 0, stale: 0, looks: 0 };
 
   constructor(
@@ -72,6 +72,10 @@
     }
   }
 
+  private get rangeBytes(): number {
+    return this.options.valueBytes * RANGES_SHARE;
+  }
+
   owns(team: string): boolean {
     return this.limits.has(team);
   }
@@ -125,9 +129,8 @@
     if (machine.leavingTo !== LEAVES_FLEET) return;
     // A dear machine is not kept for the sake of tasks that can go on elsewhere from what they saved.
     for (const task of machine.tasks.values()) {
-      const spec = this.jobs.get(task.ref)?.spec;
-      if (!spec || spec.checkpointS <= 0 || task.stop || task.runningSince === null) continue;
-      task.stop = { graceS: spec.saveS + 1 };
+      if (task.runningSince === null) continue;
+      this.saveElsewhere(task);
     }
   }
 
@@ -152,6 +155,7 @@
 
   /** All that may be on machines that have not spoken yet counts against every team. */
   private countUnresolved(): void {
+    const before = this.unresolvedCount;
     this.unresolvedCount = 0;
     this.unresolvedFree = { cpus: 0, accelerators: 0 };
     for (const machine of this.machines.values()) {
@@ -161,6 +165,7 @@
       this.unresolvedFree.cpus += Math.max(0, free?.cpus ?? Number.POSITIVE_INFINITY);
       this.unresolvedFree.accelerators += Math.max(0, free?.accelerators ?? Number.POSITIVE_INFINITY);
     }
+    if (before > 0 && this.unresolvedCount === 0) this.walkInterrupted();
   }
 
   get unresolved(): number {
@@ -181,24 +186,50 @@
     const suspect = version <= this.version;
     const dues = duesOf(spec, this.options.objectives);
     const job = new PartJob(spec, acceptedAt, dues, progress, suspect, now);
-    if (suspect && !job.finished) this.recover(job);
     this.jobs.set(spec.ref, job);
+    this.pipelines.put(spec, 'open', version);
+    this.walkPipeline(spec.ref);
     if (job.finished) this.ended.set(spec.ref, 'done');
     this.lastArrival = now;
     this.queueStale = true;
   }
 
-  /** After a take-over each open job counts as interrupted; a plain submission can always be run again. */
-  private recover(job: PartJob): void {
-    const nodes = [
-      { state: 'interrupted' as const, reExecutable: true, inputsRecorded: true, alternates: [] },
-    ];
-    const decision = walk(nodes, [], [0]);
-    if (!decision.rerun.includes(0)) job.state = 'failed';
+  /** A job of a pipeline that is over already: its edges still count. */
+  putEnded(spec: JobSpec, state: JobState, version: number): void {
+    if (!this.owns(spec.team) || !spec.pipeline) return;
+    this.pipelines.put(spec, state, version);
+    this.walkPipeline(spec.ref);
+  }
+
+  /** Holds and releases the jobs of a pipeline as its edges say, and ends those that a failure reaches. */
+  private walkPipeline(ref: string): void {
+    const view = this.pipelines.viewOf(ref);
+    if (!view) return;
+    for (const member of view.standing.keys()) {
+      const job = this.jobs.get(member);
+      if (job) job.held = !view.ready.has(member);
+    }
+    // What is done stays done, also while the store does not know it yet.
+    for (const [member, state] of view.decided)
+      if (this.jobs.get(member)?.finished === false) this.ended.set(member, state);
+  }
+
+  /** A task of this job was begun and is lost. A plain job runs it again; one that may not be rerun has failed. */
+  private lostTask(job: PartJob): void {
+    if (job.onceOnly && this.pipelines.interrupt(job.ref)) this.walkPipeline(job.ref);
+  }
+
+  /**
+   * All machines have spoken or their leases have run out: whatever an earlier owner started and is neither done nor
+   * anywhere was interrupted.
+   */
+  private walkInterrupted(): void {
+    for (const job of this.jobs.values()) if (job.onceOnly && job.interrupted) this.lostTask(job);
   }
 
   /** The store knows how a job ended. */
   closeJob(ref: string, state: JobState): void {
+    if (this.pipelines.closed(ref, state)) this.walkPipeline(ref);
     const job = this.jobs.get(ref);
     if (!job) return;
     job.state = state;
@@ -232,9 +263,8 @@
       room -= wants * job.spec.cpus;
       const mark = wants > 0 ? Math.max(job.mark, job.markFor(wants)) : job.mark;
       if (mark > job.mark) marksRaised = true;
-      else if (job.done === 0 && job.out.size === 0) continue;
-      const spare = Math.min(MAX_RANGES, this.options.valueBytes - PROGRESS_BYTES - job.ref.length);
-      jobs.set(job.ref, { ...job.progress(spare), mark });
+      else if (!job.hasProgress) continue;
+      jobs.set(job.ref, { ...job.progress(this.rangeBytes), mark });
     }
     return { jobs, marksRaised };
   }
@@ -290,7 +320,7 @@
   }
 
   private exited(machine: MachineState, exit: Exit, now: number): void {
-    if (exit.presumed) this.giveBack(exit.presumed);
+    if (exit.presumed) this.giveBack(exit.presumed, false);
     const job = this.jobs.get(exit.ref);
     const since = exit.presumed?.runningSince;
     if (job && exit.reason === 'done' && typeof since === 'number' && job.spec.checkpointS === 0) {
@@ -308,6 +338,7 @@
       return;
     }
     if (!exit.presumed) return;
+    if (exit.reason !== 'no_room' && exit.reason !== 'busy') this.lostTask(job);
     if (exit.reason === 'error' || exit.reason === 'unknown') {
       this.counters.failed++;
       job.failedOn.add(machine.id);
@@ -340,13 +371,14 @@
   }
 
   /** A presumed task is surely not on its machine any more. */
-  private giveBack(task: Presumed): void {
+  private giveBack(task: Presumed, lost = true): void {
     if (task.spec) this.reserve(task.spec, -1);
     const job = this.jobs.get(task.ref);
     const machine = job?.out.get(task.index);
     // The same task may be presumed on another machine too, being stopped there.
     if (!job || machine?.tasks.has(taskKey(task.ref, task.index))) return;
     job.comesBack(task.index);
+    if (lost && task.phase === 'seen') this.lostTask(job);
   }
 
   private reserve(spec: JobSpec, n: number): void {
@@ -360,14 +392,19 @@
   private drain(machine: MachineState, now: number): void {
     const left = ((machine.noticeUntil ?? now) - now) / 1000;
     for (const task of machine.tasks.values()) {
-      const spec = this.jobs.get(task.ref)?.spec;
-      if (!spec || spec.checkpointS <= 0 || task.stop) continue;
       // A notice may be half as long as it says; two reports may pass until the next command arrives.
-      if (left * 0.5 <= spec.saveS + (2 * this.options.reportMs) / 1000 + 1)
-        task.stop = { graceS: spec.saveS + 1 };
+      const saveS = task.spec?.saveS ?? 0;
+      if (left * 0.5 <= saveS + (2 * this.options.reportMs) / 1000 + 1) this.saveElsewhere(task);
     }
   }
 
+  /** Stops a task that can go on elsewhere from what it saves. */
+  private saveElsewhere(task: Presumed): void {
+    const job = this.jobs.get(task.ref);
+    if (!job || job.onceOnly || job.spec.checkpointS <= 0 || task.stop) return;
+    task.stop = { graceS: job.spec.saveS + 1 };
+  }
+
   // Time.
 
   tick(now: number, today: number): void {
--- /dev/null
+++ b/src/coordination/pipelines.ts
@@ -0,0 +1,157 @@
+import { type JobSpec, type PipelineStanding } from '../protocol/jobs';
+import { type FinalState, type JobState } from '../protocol/records';
+import { failJob, mayBegin, walk, type Edge, type PipelineNode, type WalkResult } from './recovery';
+
+/** A job of a pipeline, as far as its pipeline cares. */
+export interface Member {
+  spec: JobSpec;
+  state: JobState;
+  /** Order of acceptance; the earliest is walked first. */
+  order: number;
+}
+
+export interface PipelineView {
+  /** Jobs that may begin now. */
+  ready: Set<string>;
+  /** Jobs that are over for the pipeline's sake and have not been written down as that. */
+  decided: Map<string, FinalState>;
+  standing: Map<string, PipelineStanding>;
+}
+
+/**
+ * What the typed edges of one pipeline say, given how its jobs stand and which of them were interrupted and cannot
+ * go on. Pure, and from scratch each time: nothing but what the store holds decides, so every owner and every
+ * controller comes to the same view, whatever was lost between.
+ */
+export function pipelineView(members: readonly Member[], interrupted: ReadonlySet<string>): PipelineView {
+  const jobs = [...members].sort((a, b) => a.order - b.order || (a.spec.ref < b.spec.ref ? -1 : 1));
+  const index = new Map(jobs.map((j, i) => [j.spec.ref, i]));
+  const edges = edgesOf(jobs, index);
+  const nodes = jobs.map(({ spec, state }): PipelineNode => ({
+    state: interrupted.has(spec.ref) && state === 'open' ? 'interrupted' : nodeState[state],
+    reExecutable: spec.pipeline?.reExecutable ?? true,
+    inputsRecorded: true,
+    alternates: jobs.flatMap((j, i) => (j.spec.pipeline?.alternateFor === spec.ref ? [i] : [])),
+  }));
+  // Failures that are on record are passed on again: their effects may not all have been written.
+  const over = new Map<number, FinalState>();
+  const released = new Set<number>();
+  let failed = false;
+  const take = (result: WalkResult): void => {
+    for (const i of result.fail) over.set(i, 'failed');
+    for (const i of result.cancel) over.set(i, 'dropped');
+    for (const i of result.release) released.add(i);
+    failed ||= result.pipelineFailed;
+    for (const [i, end] of over) if (nodes[i]) nodes[i].state = end === 'failed' ? 'failed' : 'cancelled';
+  };
+  jobs.forEach(({ state }, i) => {
+    if (state !== 'open' && state !== 'done') take(failJob(nodes, edges, i));
+  });
+  // What stands in for a failed job begins once the failure is on record: a later owner could not tell it again.
+  const begun = new Set(released);
+  take(walk(nodes, edges, [...nodes.keys()]));
+  const ready = new Set<string>();
+  const decided = new Map<string, FinalState>();
+  const standing = new Map<string, PipelineStanding>();
+  const mended = (i: number): boolean =>
+    edges.some((e) => e.from === i && e.kind === 'force_begin_on_abort') ||
+    (nodes[i]?.alternates.length ?? 0) > 0;
+  // A failure that a fallback or alternate answers is not the pipeline's; one that nothing answers is.
+  const hasFailed = (state: JobState, i: number): boolean =>
+    state === 'open' ? over.get(i) === 'failed' : state === 'failed' || state === 'cancelled';
+  failed ||= jobs.some(({ state }, i) => hasFailed(state, i) && !mended(i));
+  jobs.forEach(({ spec, state }, i) => {
+    const end = state === 'open' ? over.get(i) : undefined;
+    if (end) decided.set(spec.ref, end);
+    const may = state === 'open' && !end && mayBegin(nodes, edges, i, begun);
+    if (may) ready.add(spec.ref);
+    standing.set(spec.ref, {
+      state: end ?? (state === 'open' ? (may ? 'ready' : idleState(i, jobs, nodes, edges, released)) : state),
+      because: may || state === 'done' ? null : causeOf(i, jobs, nodes, edges),
+      failed,
+    });
+  });
+  return { ready, decided, standing };
+}
+
+const nodeState = {
+  open: 'unscheduled',
+  done: 'done',
+  failed: 'failed',
+  dropped: 'cancelled',
+  cancelled: 'cancelled',
+} as const;
+
+function edgesOf(jobs: readonly Member[], index: ReadonlyMap<string, number>): Edge[] {
+  const edges: Edge[] = [];
+  jobs.forEach(({ spec }, to) => {
+    for (const { job, kind } of spec.pipeline?.after ?? []) {
+      const from = index.get(job);
+      if (from !== undefined) edges.push({ from, to, kind });
+    }
+  });
+  return edges;
+}
+
+/** A fallback or alternate whose job is done will never be asked for. */
+function idleState(
+  i: number,
+  jobs: readonly Member[],
+  nodes: readonly PipelineNode[],
+  edges: readonly Edge[],
+  released: ReadonlySet<number>,
+): 'waiting' | 'not_needed' {
+  const standsFor = edges.filter((e) => e.to === i && e.kind === 'force_begin_on_abort').map((e) => e.from);
+  nodes.forEach((n, from) => {
+    if (n.alternates.includes(i)) standsFor.push(from);
+  });
+  const never = standsFor.length > 0 && standsFor.every((from) => jobs[from]?.state === 'done');
+  return never && !released.has(i) ? 'not_needed' : 'waiting';
+}
+
+/** The earlier job that holds this one back or has ended it. */
+function causeOf(
+  i: number,
+  jobs: readonly Member[],
+  nodes: readonly PipelineNode[],
+  edges: readonly Edge[],
+): string | null {
+  const cause = edges.find((e) => e.to === i && nodes[e.from]?.state !== 'done');
+  const standsFor = jobs[i]?.spec.pipeline?.alternateFor ?? null;
+  return cause ? (jobs[cause.from]?.spec.ref ?? null) : standsFor;
+}
+
+/** The pipelines of a part, and which of their jobs were interrupted and cannot go on. */
+export class PartPipelines {
+  private readonly members = new Map<string, Map<string, Member>>();
+  private readonly pipelineOf = new Map<string, string>();
+  private readonly interrupted = new Set<string>();
+
+  put(spec: JobSpec, state: JobState, order: number): void {
+    if (!spec.pipeline) return;
+    const members = this.members.get(spec.pipeline.ref) ?? new Map<string, Member>();
+    members.set(spec.ref, { spec, state, order });
+    this.members.set(spec.pipeline.ref, members);
+    this.pipelineOf.set(spec.ref, spec.pipeline.ref);
+  }
+
+  /** False if the job stands alone. */
+  closed(ref: string, state: JobState): boolean {
+    const member = this.members.get(this.pipelineOf.get(ref) ?? '')?.get(ref);
+    if (member) member.state = state;
+    return member !== undefined;
+  }
+
+  /** True if that is new. */
+  interrupt(ref: string): boolean {
+    if (this.interrupted.has(ref)) return false;
+    this.interrupted.add(ref);
+    return true;
+  }
+
+  /** How the pipeline of a job stands; null if it stands alone. */
+  viewOf(ref: string): PipelineView | null {
+    const members = this.members.get(this.pipelineOf.get(ref) ?? '');
+    return members ? pipelineView([...members.values()], this.interrupted) : null;
+  }
+}
--- a/src/coordination/recovery.ts
+++ b/src/coordination/recovery.ts
@@ -1,9 +1,9 @@
+import { type EdgeKind } from '../protocol/jobs';
+
 /**
  * The recovery walk of the paper (Ray, Xin, Zhu, section 5, phase 3) and the typed edges of section 3, on
  * one pipeline. It is pure: a pipeline's states in, the decisions out.
  */
-export type EdgeKind = 'begin_on_commit' | 'abort' | 'force_begin_on_abort';
-
 /** `to` depends on `from`. */
 export interface Edge {
   from: number;
--- a/src/coordination/runs.ts
+++ b/src/coordination/runs.ts
@@ -2,11 +2,18 @@
 import { type Book, type BookedJob } from '../storage/book';
 import { type Intake } from '../storage/intake';
 import { Priority, type Ledger } from '../storage/ledger';
-import { jobAnswer, parseSubmission, type JobStatus } from '../protocol/jobs';
+import {
+  jobAnswer,
+  parseSubmission,
+  type JobSpec,
+  type JobStatus,
+  type PipelineStanding,
+} from '../protocol/jobs';
 import { keys } from '../protocol/records';
 import { type MachineType } from '../protocol/cloud';
 import { type Condition } from '../protocol/store';
 import { type Team } from '../protocol/settings';
+import { pipelineView } from './pipelines';
 import { impossible } from './placement';
 
 export interface UserAnswer {
@@ -48,14 +55,15 @@
     const team = this.teams.get(spec.team);
     const catalog = [...this.types().values()];
     if (team && catalog.length === 0) return this.failed('machine types not known yet');
-    const reason = team ? impossible(spec, catalog, team.limit) : `unknown team ${spec.team}`;
     const job = { spec, accepted: this.clock.today().toISOString() };
-    const tooLarge = reason === null && !this.intake.holds(job);
-    if (reason !== null || tooLarge) {
+    const never = team ? impossible(spec, catalog, team.limit) : `unknown team ${spec.team}`;
+    const tooLarge = !this.intake.holds(job);
+    if (never !== null || tooLarge || spec.pipeline) {
       if (!(await this.ledger.fresh())) return this.failed('no answer yet');
       if (this.book.jobs.has(spec.ref)) return this.known(spec.ref);
+      const reason = never ?? badLink(spec, this.book);
+      if (reason !== null) return { status: 422, body: { error: reason } };
       if (tooLarge) return { status: 400, body: { error: 'the description is too large to be kept' } };
-      return { status: 422, body: { error: reason } };
     }
     if (this.intake.waiting >= MAX_PENDING) {
       this.counters.shed++;
@@ -89,7 +97,7 @@
       const job = await this.find(ref);
       if (job === null) break;
       if (job === 'absent') return unknownJob;
-      if (job.state !== 'open') return { status: 200, body: this.shown(job) };
+      if (isFinal(job)) return { status: 200, body: this.shown(job) };
       const unchanged = this.stillOpen(job);
       if (!unchanged) break;
       const result = await this.ledger.txn(
@@ -124,7 +132,7 @@
   /** A final state never changes, so the replica's word is enough; anything else must be as it is now. */
   private async find(ref: string): Promise<BookedJob | 'absent' | null> {
     const known = this.book.jobs.get(ref);
-    if (known && known.state !== 'open') return known;
+    if (known && isFinal(known)) return known;
     if (!(await this.ledger.fresh())) return null;
     return this.book.jobs.get(ref) ?? 'absent';
   }
@@ -134,8 +142,34 @@
     const running = state === 'open' ? (progress?.running ?? 0) : 0;
     const done = state === 'done' ? spec.tasks : (progress?.doneCount ?? 0);
     const open: JobStatus = running > 0 ? 'running' : 'queued';
-    // A job that failed for its pipeline's sake is over without being done.
-    const status = state === 'open' ? open : state === 'done' ? 'done' : 'cancelled';
-    return jobAnswer(spec.ref, status, done, running);
+    // A job that failed for its pipeline's sake is over for us but not for its user, who alone may call it off.
+    const status = state === 'done' || state === 'cancelled' ? state : open;
+    return jobAnswer(spec.ref, status, done, running, this.standing(spec));
   }
+
+  private standing({ ref, pipeline }: JobSpec): ({ ref: string } & PipelineStanding) | undefined {
+    if (!pipeline) return undefined;
+    const members = (this.book.pipelines.get(pipeline.ref) ?? []).map((j) => ({ ...j, order: j.version }));
+    const standing = pipelineView(members, new Set()).standing.get(ref);
+    return standing && { ref: pipeline.ref, ...standing };
+  }
+}
+
+/** Nothing that may still come changes it. */
+function isFinal({ state }: BookedJob): boolean {
+  return state === 'done' || state === 'cancelled';
+}
+
+/** Why a job cannot hang together with the jobs that it names, or null. They are known already, so no cycle is. */
+function badLink({ ref, team, pipeline }: JobSpec, book: Book): string | null {
+  const named = pipeline ? [...pipeline.after.map((e) => e.job), pipeline.alternateFor] : [];
+  for (const job of named) {
+    if (job === null) continue;
+    if (job === ref) return `pipeline: ${ref} hangs on itself`;
+    const other = book.jobs.get(job)?.spec;
+    if (!other) return `pipeline: ${job} is not known`;
+    if (other.team !== team) return `pipeline: ${job} is another team's`;
+    if (other.pipeline?.ref !== pipeline?.ref) return `pipeline: ${job} is not of this pipeline`;
+  }
+  return null;
 }
--- a/src/protocol/jobs.ts
+++ b/src/protocol/jobs.ts
@@ -3,6 +3,19 @@
 /** Urgencies from the most to the least pressing; the index is the rank. */
 export const URGENCIES = ['prod', 'urgent', 'normal', 'idle'] as const;
 
+export const EDGE_KINDS = ['begin_on_commit', 'abort', 'force_begin_on_abort'] as const;
+export type EdgeKind = (typeof EDGE_KINDS)[number];
+
+/** How a job hangs together with earlier jobs of its pipeline. */
+export interface PipelineLink {
+  ref: string;
+  after: { job: string; kind: EdgeKind }[];
+  /** Whether it may be run again after its tasks were interrupted. */
+  reExecutable: boolean;
+  /** The job that this one stands in for should it fail. */
+  alternateFor: string | null;
+}
+
 /** A job as its user described it, in the project's own words. */
 export interface JobSpec {
   ref: string;
@@ -26,14 +39,17 @@
   checkpointS: number;
   saveS: number;
   deadlineS: number | null;
+  /** Null: it stands alone. */
+  pipeline: PipelineLink | null;
 }
 
 export const JOB_REF = /^job-[0-9]{1,18}$/;
 
 const amount = z.number().nonnegative();
 const name = z.string().min(1).max(200);
+const jobRef = z.string().regex(JOB_REF, 'must look like job-000412');
 const submission = z.object({
-  ref: z.string().regex(JOB_REF, 'must look like job-000412'),
+  ref: jobRef,
   workload: name,
   crew: name,
   shape: z.literal('sweep'),
@@ -53,6 +69,17 @@
   snapshot_every_s: amount,
   snapshot_s: amount,
   due_s: amount.nullish(),
+  pipeline: z
+    .object({
+      ref: name,
+      after: z
+        .array(z.object({ job: jobRef, type: z.enum(EDGE_KINDS) }))
+        .max(100)
+        .nullish(),
+      re_executable: z.boolean().nullish(),
+      alternate_for: jobRef.nullish(),
+    })
+    .nullish(),
 });
 
 export type Submission = { ok: true; spec: JobSpec } | { ok: false; reason: string };
@@ -90,13 +117,36 @@
       checkpointS: s.snapshot_every_s,
       saveS: s.snapshot_s,
       deadlineS: s.due_s ?? null,
+      pipeline: s.pipeline
+        ? {
+            ref: s.pipeline.ref,
+            after: (s.pipeline.after ?? []).map(({ job, type }) => ({ job, kind: type })),
+            reExecutable: s.pipeline.re_executable ?? true,
+            alternateFor: s.pipeline.alternate_for ?? null,
+          }
+        : null,
     },
   };
 }
 
 export type JobStatus = 'queued' | 'running' | 'done' | 'cancelled';
 
+/** How a job of a pipeline stands there; `because` names what it waits for or what decided over it. */
+export interface PipelineStanding {
+  state: 'ready' | 'waiting' | 'not_needed' | 'done' | 'failed' | 'dropped' | 'cancelled';
+  because: string | null;
+  /** The pipeline as a whole has failed: something in it did, and nothing that stands in for it may mend that. */
+  failed: boolean;
+}
+
 /** The answer to a user's question about a job. */
-export function jobAnswer(ref: string, status: JobStatus, done: number, running: number): object {
-  return { ref, status: status === 'cancelled' ? 'aborted' : status, done, running };
+export function jobAnswer(
+  ref: string,
+  status: JobStatus,
+  done: number,
+  running: number,
+  pipeline?: { ref: string } & PipelineStanding,
+): object {
+  const shown = status === 'cancelled' ? 'aborted' : status;
+  return { ref, status: shown, done, running, ...(pipeline ? { pipeline } : {}) };
 }
--- a/src/protocol/records.ts
+++ b/src/protocol/records.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import type { JobSpec } from './jobs';
+import { EDGE_KINDS, type JobSpec } from './jobs';
 
 /**
  * What the controllers keep in the state service. All keys share one prefix, so that one watch brings every
@@ -61,9 +61,11 @@
   version: number;
 }
 
-export type JobState = 'open' | 'done' | 'cancelled' | 'failed';
+/** `failed` and `dropped` (what it abort-depends on failed) are for jobs of pipelines alone. */
+export type JobState = 'open' | 'done' | 'cancelled' | 'failed' | 'dropped';
+const FINAL_STATES = ['done', 'failed', 'dropped'] as const;
 /** How a job ended, other than by its user's will. */
-export type FinalState = 'done' | 'failed';
+export type FinalState = (typeof FINAL_STATES)[number];
 
 /** What a batch says of a job. */
 export interface AcceptedJob {
@@ -95,6 +97,14 @@
       ...{ m: z.number(), i: z.string(), g: z.number(), y: z.array(z.string()).nullable() },
       ...{ z: z.string().nullable(), b: z.number(), e: z.number(), k: z.number(), s: z.number() },
       d: z.number().nullable(),
+      p: z
+        .object({
+          ref: z.string(),
+          after: z.array(z.object({ job: z.string(), kind: z.enum(EDGE_KINDS) })),
+          reExecutable: z.boolean(),
+          alternateFor: z.string().nullable(),
+        })
+        .optional(),
     }),
     z.string(),
   ]),
@@ -110,6 +120,7 @@
     ...{ w: spec.workload, t: spec.team, r: spec.rank, n: spec.tasks, c: spec.cpus, a: spec.accelerators },
     ...{ m: spec.memoryGb, i: spec.image, g: spec.imageGb, y: spec.types, z: spec.zone, b: flags },
     ...{ e: spec.expectedS, k: spec.checkpointS, s: spec.saveS, d: spec.deadlineS },
+    ...(spec.pipeline ? { p: spec.pipeline } : {}),
   };
   return [spec.ref, short, accepted];
 }
@@ -124,12 +135,12 @@
       ...{ ref, workload: j.w, team: j.t, rank: j.r, tasks: j.n, cpus: j.c, accelerators: j.a },
       ...{ memoryGb: j.m, image: j.i, imageGb: j.g, types: j.y, zone: j.z, expectedS: j.e },
       ...{ together: (j.b & TOGETHER) > 0, apart: (j.b & APART) > 0, spot: (j.b & SPOT) > 0 },
-      ...{ checkpointS: j.k, saveS: j.s, deadlineS: j.d },
+      ...{ checkpointS: j.k, saveS: j.s, deadlineS: j.d, pipeline: j.p ?? null },
     },
   }));
 }
 
-const finalSchema = z.record(z.string(), z.enum(['done', 'failed']));
+const finalSchema = z.record(z.string(), z.enum(FINAL_STATES));
 
 export function decodeFinal(value: unknown): Record<string, FinalState> | null {
   const read = finalSchema.safeParse(value);
--- a/src/storage/book.ts
+++ b/src/storage/book.ts
@@ -41,6 +41,11 @@
   | { kind: 'gone'; id: string; part: string }
   | { kind: 'members' };
 
+export interface BookedProgress extends JobProgress {
+  /** The number of its part's progress value that it stands in. */
+  slot: number;
+}
+
 interface BookedMachine extends FleetEntry {
   /** The key whose value it stands in. */
   key: string;
@@ -53,6 +58,8 @@
 export class Book {
   readonly events = new Subject<BookEvent>();
   readonly jobs = new Map<string, BookedJob>();
+  /** The jobs of each pipeline. */
+  readonly pipelines = new Map<string, BookedJob[]>();
   readonly machines = new Map<string, BookedMachine>();
   readonly parts = new Map<string, BookedPart>();
   /** Controllers whose grants live, with their incarnations. */
@@ -60,7 +67,7 @@
   leader: { member: string; version: number } | null = null;
   types: ReadonlyMap<string, MachineType> = new Map();
   private readonly ended = new Map<string, JobState>();
-  private readonly progress = new Map<string, JobProgress>();
+  private readonly progress = new Map<string, BookedProgress>();
   private readonly fleets = new Map<string, Map<string, FleetEntry>>();
 
   constructor(
@@ -70,7 +77,7 @@
     ledger.changes.subscribe((change) => this.take(change));
   }
 
-  progressOf(ref: string): JobProgress | null {
+  progressOf(ref: string): BookedProgress | null {
     return this.progress.get(ref) ?? null;
   }
 
@@ -148,12 +155,18 @@
       const state = known?.state ?? this.ended.get(spec.ref) ?? 'open';
       const job = { spec, acceptedAt: new Date(accepted).getTime(), version, state };
       this.jobs.set(spec.ref, job);
+      if (spec.pipeline) {
+        const others = (this.pipelines.get(spec.pipeline.ref) ?? []).filter((j) => j.spec.ref !== spec.ref);
+        this.pipelines.set(spec.pipeline.ref, [...others, job]);
+      }
       if (state === 'open') this.events.next({ kind: 'job', job });
     }
   }
 
   private end(ref: string, state: JobState): void {
-    if (this.ended.has(ref)) return;
+    const before = this.ended.get(ref);
+    // A job that failed for its pipeline's sake may still be cancelled by its user, and then stays so.
+    if (before === state || before === 'done' || before === 'cancelled') return;
     this.ended.set(ref, state);
     this.progress.delete(ref);
     const job = this.jobs.get(ref);
@@ -162,16 +175,12 @@
     this.events.next({ kind: 'closed', job });
   }
 
-  /** While a part's progress is spread anew over its values a job may stand in two: what is further counts. */
   private takeProgress(key: string, value: unknown): void {
     const jobs = value === null ? new Map<string, JobProgress>() : decodeProgress(value);
     if (!jobs) return this.malformed(key);
-    for (const [ref, now] of jobs) {
-      if (this.ended.has(ref)) continue;
-      const before = this.progress.get(ref);
-      const further = before && before.doneCount > now.doneCount ? before : now;
-      this.progress.set(ref, { ...further, mark: Math.max(now.mark, before?.mark ?? 0) });
-    }
+    const slot = Number(key.split('/')[3]);
+    for (const [ref, progress] of jobs)
+      if (!this.ended.has(ref)) this.progress.set(ref, { ...progress, slot });
   }
 
   private takeFleet(key: string, value: unknown, version: number): void {
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -104,7 +104,7 @@
     memoryGb: 2,
   },
   ...{ image: 'i', imageGb: 1, types: null, zone: null, together: false, apart: false, spot: true },
-  ...{ expectedS: 30, checkpointS: 0, saveS: 0, deadlineS: null },
+  ...{ expectedS: 30, checkpointS: 0, saveS: 0, deadlineS: null, pipeline: null },
 };
 
 test('placement', async (t) => {
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -3,7 +3,8 @@
 import { PartCore } from '../src/coordination/part';
 import { type MachineType } from '../src/protocol/cloud';
 import { type JobSpec } from '../src/protocol/jobs';
-import { type JobState, type MachineRecord } from '../src/protocol/records';
+import { type JobProgress, type JobState, type MachineRecord } from '../src/protocol/records';
+import { ProgressSlots } from '../src/storage/progress';
 import { type Command, type Report, type ReportedTask } from '../src/protocol/workers';
 
 const VERSION = 100;
@@ -21,7 +22,7 @@
   return {
     ...{ ref, workload: 'w', team: 't', rank: 2, tasks: 2, cpus: 1, accelerators: 0, memoryGb: 2 },
     ...{ image: 'i', imageGb: 1, types: null, zone: null, together: false, apart: false, spot: true },
-    ...{ expectedS: 30, checkpointS: 0, saveS: 0, deadlineS: null, ...change },
+    ...{ expectedS: 30, checkpointS: 0, saveS: 0, deadlineS: null, pipeline: null, ...change },
   };
 }
 
@@ -379,6 +380,16 @@
       );
     },
   ],
+  [
+    // Left out while none of its tasks was out, it lost its mark: the next owner took tasks for never begun.
+    'a job whose mark was raised stays on record though nothing of it runs',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 20, cpus: 0.1 }), FRESH, '', 8);
+      b.core.recorded(b.core.progress(0).jobs);
+      assert.ok((b.core.progress(0).jobs.get('job-1')?.mark ?? 0) > 8);
+    },
+  ],
   [
     'an emptied machine is given to the part that waits for it, unless that is taken back',
     (b) => {
@@ -396,3 +407,30 @@
 test('a part', async (t) => {
   for (const [name, run] of cases) await t.test(name, () => run(new Bench()));
 });
+
+test('progress keeps its place, fits, and is written only where it differs', () => {
+  const at = (done: string, mark: number): JobProgress => ({ done, doneCount: 0, running: 0, mark });
+  const slots = new ProgressSlots(512);
+  const three = new Map(['job-1', 'job-2', 'job-3'].map((ref) => [ref, at('0-3', 8)]));
+  const first = slots.changed(three);
+  assert.deepEqual(
+    first.map((v) => [v.slot, ...v.jobs.keys()]),
+    [
+      [0, 'job-1', 'job-2'],
+      [1, 'job-3'],
+    ],
+  );
+  for (const value of first) slots.written(value);
+  slots.drop('job-1');
+  three.delete('job-1');
+  assert.deepEqual(
+    slots.changed(three).map((v) => [v.slot, ...v.jobs.keys()]),
+    [[0, 'job-2']],
+    'job-3 stays where it is',
+  );
+  const long = Array.from({ length: 200 }, (_, i) => `${2 * i}`).join(',');
+  const [cut] = slots.changed(new Map([['job-2', at(long, 399)]]));
+  assert.ok((cut?.text.length ?? 0) <= 512);
+  assert.equal(cut?.jobs.get('job-2')?.mark, 399);
+  assert.match(cut?.jobs.get('job-2')?.done ?? '', /^0,2,4(,[0-9]+)*$/);
+});
