--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -41,6 +41,8 @@
 const SPARE_ROOM = 1.5;
 const NEARLY_EMPTY = 0.7;
 const SPARE_FROM_S = 12;
+/** Of a part's machines in use, the share that is sent off at once. */
+const SPARE_AT_ONCE = 0.1;
 /** Bounds one round; the next one goes on. */
 const MOST_MOVES = 60;
 const MOST_RENTS = 400;
@@ -54,8 +56,9 @@
 /** A part gives a machine away while another would need this many times as long for its work. */
 const LEND_RATIO = 1.3;
 const LEND_FROM_S = 8;
-/** Draining leaves room unused: it is worth it for machines whose last task ends soon. */
+/** Draining leaves room unused: it is worth it for machines whose last task ends soon, and for few at once. */
 const DRAIN_WITHIN_S = 20;
+const DRAIN_AT_ONCE = 0.04;
 
 interface Supply {
   id: string;
@@ -325,6 +328,9 @@
     const unmet = taker.waits.filter((w) => w.tasks > 0 && w.demand.rank <= rank);
     let missing = unmet.reduce((sum, w) => sum + w.tasks * w.demand.cpus, 0);
     missing -= (cpus.get(taker) ?? 0) - cpusOf(taker);
+    let draining = DRAIN_AT_ONCE * cpusOf(donor);
+    for (const m of donor.load.machines)
+      if (m.leavingTo !== null) draining -= typeOf(m.machine, picture)?.cpus ?? 0;
     // Emptiest first: what is free or still booting moves at once.
     const offers = donor.supply
       .filter((s) => !taken.has(s.id) && loadOf.has(s.id) && unmet.some((w) => suits(w.demand, s)))
@@ -334,11 +340,14 @@
       const [has, gets] = [cpus.get(donor) ?? 0, cpus.get(taker) ?? 0];
       // Work beyond the teams' limits cannot use more machines.
       if (missing <= 0 || at(taker) < LEND_FROM_S || at(taker) < LEND_RATIO * at(donor)) break;
+      const busy = (loadOf.get(s.id)?.tasks ?? 0) > 0;
+      if (busy && draining <= 0) break;
       // It must not turn the two round.
       if (horizon(donor, has - s.type.cpus, rank) > horizon(taker, gets + s.type.cpus, rank)) continue;
       cpus.set(donor, has - s.type.cpus);
       cpus.set(taker, gets + s.type.cpus);
       missing -= s.type.cpus;
+      if (busy) draining -= s.type.cpus;
       taken.add(s.id);
       const [fromPart, toPart] = [donor.load.part, taker.load.part];
       actions.push({ kind: 'move', machine: s.id, fromPart, toPart, drain: true });
@@ -368,7 +377,7 @@
   }
 }
 
-/** Empties the dearest machine whose tasks the others of its part have room for, while nothing waits. */
+/** Empties the dearest machines whose tasks the others of their part have room for, while nothing waits. */
 function spare(
   views: readonly PartView[],
   picture: FleetPicture,
@@ -376,31 +385,41 @@
   quiet: boolean,
   actions: FleetAction[],
 ): void {
+  const moved = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
   for (const part of views) {
-    if (part.waits.length > 0 || picture.machines.some((m) => m.part === part.load.part && m.booting))
-      continue;
-    // One at a time, until what it held has settled elsewhere.
-    if (part.load.machines.some((m) => m.leavingTo === LEAVES_FLEET && m.tasks > 0)) continue;
-    const running = part.supply.filter((s) => (loadOf.get(s.id)?.tasks ?? 0) > 0);
-    const free = running.reduce((sum, s) => sum + s.free.cpus, 0);
-    let worst: Supply | null = null;
-    let worstCost = 0;
-    for (const s of running) {
+    const { part: fromPart, machines } = part.load;
+    const booting = picture.machines.some((m) => m.part === fromPart && m.booting);
+    if (part.waits.length > 0 || booting) continue;
+    const running = part.supply.filter((s) => !moved.has(s.id) && (loadOf.get(s.id)?.tasks ?? 0) > 0);
+    // Room for what is moved off, less what was sent off before and has not settled elsewhere.
+    let free = running.reduce((sum, s) => sum + s.free.cpus, 0);
+    for (const m of machines)
+      if (m.leavingTo === LEAVES_FLEET) free -= (typeOf(m.machine, picture)?.cpus ?? 0) - m.freeCpus;
+    // While jobs still come only dear or nearly empty machines are worth the trouble; else more room is asked
+    // for than the tasks take, for some of it is needed by what comes next.
+    const room = quiet ? SPARE_ROOM : 1;
+    const cost = (s: Supply): number => (priceOf(s) * s.free.cpus) / s.type.cpus;
+    let left = quiet ? Math.max(1, Math.ceil(running.length * SPARE_AT_ONCE)) : 1;
+    for (const s of running.filter((r) => cost(r) > 0).sort((a, b) => cost(b) - cost(a))) {
       const used = s.type.cpus - s.free.cpus;
-      // While jobs still come only dear or nearly empty machines are worth the trouble; else more room is asked
-      // for than the tasks take, for some of it is needed by what comes next.
       if (!quiet && s.spot && s.free.cpus < NEARLY_EMPTY * s.type.cpus) continue;
-      const room = quiet ? SPARE_ROOM : 1;
       if (free - s.free.cpus < room * used || (loadOf.get(s.id)?.emptyInS ?? 0) < SPARE_FROM_S) continue;
-      const cost = ((s.spot ? s.type.spotPrice : s.type.price) * s.free.cpus) / s.type.cpus;
-      if (cost > worstCost) [worst, worstCost] = [s, cost];
+      if (left-- <= 0) break;
+      free -= s.free.cpus + used;
+      actions.push({ kind: 'move', machine: s.id, fromPart, toPart: LEAVES_FLEET, drain: true });
     }
-    if (!worst || actions.some((a) => a.kind === 'move' && a.machine === worst?.id)) continue;
-    const { part: fromPart } = part.load;
-    actions.push({ kind: 'move', machine: worst.id, fromPart, toPart: LEAVES_FLEET, drain: true });
   }
 }
 
+function priceOf({ spot, type }: Supply): number {
+  return spot ? type.spotPrice : type.price;
+}
+
+function typeOf(id: string, picture: FleetPicture): MachineType | undefined {
+  const machine = picture.machines.find((m) => m.id === id);
+  return machine && picture.types.get(machine.type);
+}
+
 /** The kind of machine that costs least for what is missing; spread over zones where the price is the same. */
 function cheapest(
   demand: Demand,
--- /dev/null
+++ b/src/protocol/policy.ts
@@ -0,0 +1,164 @@
+import { readFileSync } from 'node:fs';
+import { z } from 'zod';
+
+/** What operators may set beyond the platform's file. No knob can weaken a rule. */
+export interface Policy {
+  /** How often the progress of open jobs is written. */
+  progressS: number;
+  /** Machines are rented for this many times the work that waits. */
+  headroom: number;
+  /** How each class of jobs weighs price against time. */
+  classes: Readonly<Record<string, ClassPolicy>>;
+}
+
+export interface ClassPolicy {
+  /** `cheap`: waits for spot machines; `fast`: takes what comes first; `balanced`: by its urgency. */
+  price: 'cheap' | 'balanced' | 'fast';
+}
+
+export const DEFAULT_POLICY: Policy = { progressS: 2, headroom: 1, classes: {} };
+
+export class PolicyError extends Error {}
+
+const schema = z.strictObject({
+  progress_interval_s: z.number().min(0.5).max(10).default(DEFAULT_POLICY.progressS),
+  headroom: z.number().min(0.5).max(2).default(DEFAULT_POLICY.headroom),
+  classes: z.record(z.string(), z.strictObject({ price: z.enum(['cheap', 'balanced', 'fast']) })).default({}),
+});
+
+/** More than any sensible policy needs, and over in a fraction of a second. */
+const MOST_STEPS = 200_000;
+const MOST_BYTES = 64 * 1024 * 1024;
+const CHECK_EVERY = 10;
+
+function memoryUsed(): number {
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
+/** Runs a policy script and checks what it returns. Every error names the file and, where there is one, the line. */
+export function loadPolicy(path: string): Policy {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (error) {
+    throw new PolicyError(`${path}: ${(error as Error).message}`);
+  }
+  return parsePolicy(path, text);
+}
+
+export function parsePolicy(path: string, text: string): Policy {
+  const value = runScript(path, text);
+  const read = schema.safeParse(value);
+  if (!read.success) {
+    const issue = read.error.issues[0];
+    const unknown = issue?.code === 'unrecognized_keys' ? issue.keys : [];
+    const knob = [...(issue?.path.map(String) ?? []), ...unknown];
+    const why = unknown.length > 0 ? 'no such knob' : (issue?.message ?? 'invalid');
+    throw new PolicyError(`${path}:${lineOf(text, knob)}: ${knob.join('.') || 'policy'}: ${why}`);
+  }
+  const { progress_interval_s, headroom, classes } = read.data;
+  return { progressS: progress_interval_s, headroom, classes };
+}
+
+/** The line on which the innermost part of a knob's name that the script spells out stands; 1 if none does. */
+function lineOf(text: string, knob: readonly string[]): number {
+  const lines = text.split('\n');
+  for (const name of [...knob].reverse()) {
+    const at = lines.findIndex((line) => line.replace(/--.*$/, '').includes(name));
+    if (at >= 0) return at + 1;
+  }
+  return 1;
+}
+
+/** The part of the Lua machine that is used here; the package brings no types. */
+interface Lua {
+  lua: Record<string, (...args: unknown[]) => unknown> & Record<string, number>;
+  lauxlib: Record<string, (...args: unknown[]) => unknown>;
+  lualib: Record<string, (...args: unknown[]) => unknown>;
+  to_luastring: (text: string) => Uint8Array;
+  to_jsstring: (text: Uint8Array) => string;
+}
+
+/**
+ * What a script may do: compute. No way leads to files, the network or other code; nor to functions that work for long
+ * inside one step, where nobody counts, nor to those that would catch the error that ends a script.
+ */
+const FORBIDDEN = [
+  ...['dofile', 'loadfile', 'load', 'require', 'print', 'collectgarbage', 'pcall', 'xpcall'],
+  ...['getmetatable', 'setmetatable'],
+];
+
+function runScript(path: string, text: string): unknown {
+  // Loaded only if there is a policy: it would cost every start.
+  // eslint-disable-next-line @typescript-eslint/no-require-imports
+  const { lua, lauxlib, lualib, to_luastring, to_jsstring } = require('fengari') as Lua;
+  const call = (name: string, ...args: unknown[]): unknown =>
+    (lua[name] as (...a: unknown[]) => unknown)(...args);
+  const L = lauxlib['luaL_newstate']?.();
+  const open = (name: string, opener: unknown): void => {
+    lauxlib['luaL_requiref']?.(L, to_luastring(name), opener, 1);
+    call('lua_settop', L, 0);
+  };
+  open('_G', lualib['luaopen_base']);
+  open('math', lualib['luaopen_math']);
+  for (const name of FORBIDDEN) {
+    call('lua_pushnil', L);
+    call('lua_setglobal', L, to_luastring(name));
+  }
+  let steps = 0;
+  const before = memoryUsed();
+  const count = (): void => {
+    steps += CHECK_EVERY;
+    if (steps <= MOST_STEPS && memoryUsed() - before < MOST_BYTES) return;
+    lauxlib['luaL_where']?.(L, 0);
+    call('lua_pushstring', L, to_luastring('the script takes too long or too much memory'));
+    call('lua_concat', L, 2);
+    call('lua_error', L);
+  };
+  call('lua_sethook', L, count, lua['LUA_MASKCOUNT'], CHECK_EVERY);
+  const source = to_luastring(text);
+  const failed =
+    lauxlib['luaL_loadbuffer']?.(L, source, source.length, to_luastring(`@${path}`)) !== lua['LUA_OK'] ||
+    call('lua_pcall', L, 0, 1, 0) !== lua['LUA_OK'];
+  if (failed) {
+    const message = call('lua_tostring', L, -1) as Uint8Array | null;
+    throw new PolicyError(message ? to_jsstring(message) : `${path}: failed`);
+  }
+  return valueAt(L, -1, 0, { lua, lauxlib, lualib, to_luastring, to_jsstring });
+}
+
+const DEEPEST = 4;
+const MOST_ENTRIES = 1000;
+
+/** A Lua value as JavaScript has it; what a policy has no use for becomes null. */
+function valueAt(L: unknown, index: number, depth: number, machine: Lua): unknown {
+  const { lua, to_jsstring } = machine;
+  const call = (name: string, ...args: unknown[]): unknown =>
+    (lua[name] as (...a: unknown[]) => unknown)(...args);
+  const at = call('lua_absindex', L, index) as number;
+  switch (call('lua_type', L, at)) {
+    case lua['LUA_TNUMBER']:
+      return call('lua_tonumber', L, at);
+    case lua['LUA_TBOOLEAN']:
+      return call('lua_toboolean', L, at);
+    case lua['LUA_TSTRING']:
+      return to_jsstring(call('lua_tostring', L, at) as Uint8Array);
+    case lua['LUA_TTABLE']: {
+      if (depth >= DEEPEST) return null;
+      const table: Record<string, unknown> = {};
+      let entries = 0;
+      call('lua_pushnil', L);
+      while (call('lua_next', L, at)) {
+        // Only text keys: asking a number for its text would change it in the middle of the walk.
+        if (call('lua_type', L, -2) === lua['LUA_TSTRING'] && entries++ < MOST_ENTRIES) {
+          table[to_jsstring(call('lua_tostring', L, -2) as Uint8Array)] = valueAt(L, -1, depth + 1, machine);
+        }
+        call('lua_settop', L, -2);
+      }
+      return table;
+    }
+    default:
+      return null;
+  }
+}
