--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -1,5 +1,6 @@
 import { type MachineType, type RentalOrder } from '../protocol/cloud';
 import { URGENCIES } from '../protocol/jobs';
+import { type Policy } from '../protocol/policy';
 import { LEAVES_FLEET, type Demand, type MachineLoad, type PartLoad } from '../protocol/peers';
 import { allows, fits, type Free } from './placement';
 
@@ -24,6 +25,7 @@
   /** Kinds of machine of which the cloud has none just now. */
   soldOut: (kind: Omit<RentalOrder, 'count'>) => boolean;
   leaseMs: number;
+  policy: Policy;
 }
 
 export type FleetAction =
@@ -248,11 +250,15 @@
   const size = Math.max(demand.cpus, 0.1);
   // What the machines that suit it will have worked off in time needs no new ones.
   const able = part.supply.reduce((sum, s) => sum + (suits(demand, s) ? s.type.cpus : 0), 0);
-  const missing = Math.min(wait.tasks * size, part.ahead / drainS - able);
+  const { headroom, classes } = picture.policy;
+  const missing = Math.min(wait.tasks * size, (headroom * part.ahead) / drainS - able);
   if (missing <= 0) return false;
   // Idle work waits for cheap machines as long as there are any that will come to it.
   const idle = demand.rank === URGENCIES.length - 1;
-  const patient = able > 0 && demand.spot && (idle || part.ahead / drainS <= ORDINARY_PATIENCE * able);
+  const price = classes[demand.workload]?.price ?? 'balanced';
+  const late = part.ahead / drainS > ORDINARY_PATIENCE * able;
+  const waits = price === 'cheap' || (price === 'balanced' && (idle || !late));
+  const patient = able > 0 && demand.spot && waits;
   const order = cheapest(demand, missing, wait.tasks, picture, !patient, inZone);
   const type = order && picture.types.get(order.type);
   if (!order || !type) return false;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,7 +1,9 @@
 import { every, type Clock } from '../transport/clock';
 import { type Log } from '../transport/log';
+import { Measures } from '../transport/measures';
 import { type MachineType } from '../protocol/cloud';
 import { decodePeer, encodePeer, type PartLoad, type PeerMessage } from '../protocol/peers';
+import { type Policy } from '../protocol/policy';
 import { type Settings } from '../protocol/settings';
 import { type Report } from '../protocol/workers';
 import { Book, type BookedPart, type BookEvent } from '../storage/book';
@@ -17,6 +19,7 @@
 
 const TICK_MS = 250;
 const STATUS_MS = 500;
+const MEASURES_AFTER_MS = 20_000;
 /** A store that has not answered for this long counts as out of reach. */
 const STORE_SILENT_MS = 1500;
 
@@ -33,6 +36,7 @@
 
 /** One controller: the actors and what joins them. */
 export class Controller {
+  private readonly measures = new Measures();
   private readonly ledger: Ledger;
   private readonly book: Book;
   private readonly member: Member;
@@ -44,15 +48,14 @@
 
   constructor(
     private readonly settings: Settings,
+    private readonly policy: Policy,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly wiring: Wiring,
   ) {
-    this.ledger = new Ledger(wiring.store, wiring.watch, clock, log, {
-      requestRate: settings.store.requestRate,
-      writeRate: settings.store.writeRate,
-      controllers: settings.peers.length + 1,
-    });
+    const { requestRate, writeRate } = settings.store;
+    const rates = { requestRate, writeRate, controllers: settings.peers.length + 1 };
+    this.ledger = new Ledger(wiring.store, wiring.watch, clock, log, rates, this.measures);
     this.book = new Book(this.ledger, log);
     this.truce = new Truce(
       settings.peers.map((p) => p.member),
@@ -61,6 +64,7 @@
     this.member = new Member(settings.member, this.ledger, clock, log, this.truce, () => this.reconcile());
     this.leader = new Leader(
       settings,
+      policy,
       this.member,
       this.ledger,
       this.book,
@@ -73,7 +77,7 @@
     const teams = new Map(settings.teams.map((t) => [t.name, t]));
     const { valueBytes, txnOps } = settings.store;
     const intake = new Intake(this.ledger, this.book, clock, { valueBytes, txnOps, life: wiring.life });
-    this.runs = new Runs(this.ledger, this.book, intake, clock, teams, () => this.types());
+    this.runs = new Runs(this.ledger, this.book, intake, clock, teams, () => this.types(), this.measures);
     this.book.events.subscribe((event) => this.forward(event));
     this.ledger.batches.subscribe(() => this.reconcile());
   }
@@ -85,6 +89,7 @@
     this.leader.tell({ kind: 'tick' });
     every(this.clock, TICK_MS, () => this.tick());
     every(this.clock, STATUS_MS, () => this.sendStatus());
+    this.clock.after(MEASURES_AFTER_MS, () => this.measures.load());
   }
 
   // The store's picture.
@@ -149,7 +154,8 @@
       },
     );
     const { valueBytes, txnOps, writeRate } = settings.store;
-    const options = { valueBytes, txnOps, writeRate, parts: book.parts.size };
+    const progressMs = this.policy.progressS * 1000;
+    const options = { valueBytes, txnOps, writeRate, parts: book.parts.size, progressMs };
     const actor = new PartActor(
       core,
       record,
@@ -178,6 +184,12 @@
   // Workers.
 
   report(report: Report, reply: (reply: ReportReply) => void): void {
+    const since = this.clock.steady();
+    this.answer(report, reply);
+    this.measures.record('report', this.clock.steady() - since);
+  }
+
+  private answer(report: Report, reply: (reply: ReportReply) => void): void {
     if (!this.member.alive()) return reply({ kind: 'busy' });
     const machine = this.book.machines.get(report.machine);
     if (!machine) {
@@ -293,6 +305,7 @@
       revision: this.ledger.revision,
       store: { ...this.ledger.counters, changes: this.ledger.changesByKind },
       users: this.runs.counters,
+      took: this.measures.summary(),
       parts: [...this.parts.values()].map((p) => p.core.summary()),
     };
   }
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -24,7 +24,8 @@
   type MachineType,
   type RentalOrder,
 } from '../protocol/cloud';
-import { type PartLoad, type PeerMessage } from '../protocol/peers';
+import { type MachineLoad, type PartLoad, type PeerMessage } from '../protocol/peers';
+import { type Policy } from '../protocol/policy';
 import { type Settings, type Team } from '../protocol/settings';
 import { type Report } from '../protocol/workers';
 import { type Condition, type Write } from '../protocol/store';
@@ -118,6 +119,7 @@
 
   constructor(
     private readonly settings: Settings,
+    private readonly policy: Policy,
     private readonly member: Member,
     private readonly ledger: Ledger,
     private readonly book: Book,
@@ -515,6 +517,7 @@
       machines,
       soldOut: (kind) => (this.soldOut.get(kindKey(kind)) ?? Number.NEGATIVE_INFINITY) > now,
       leaseMs: this.settings.leaseMs,
+      policy: this.policy,
     });
     this.tellFleet(loads, machines, now);
     const owners = new Map(parts.map((p) => [p.id, p.record.owner]));
@@ -549,7 +552,15 @@
     const parts = loads.map((load) => {
       const here = machines.filter((m) => m.part === load.part && !m.returning);
       const cpus = here.reduce((sum, m) => sum + (this.types.get(m.type)?.cpus ?? 0), 0);
-      const free = load.machines.reduce((sum, m) => sum + m.freeCpus, 0);
+      const freeOf = (which: (m: MachineLoad) => boolean): number =>
+        Math.round(load.machines.filter(which).reduce((sum, m) => sum + m.freeCpus, 0));
+      const free = {
+        all: freeOf(() => true),
+        booting: freeOf((m) => m.silentMs < 0),
+        leaving: freeOf((m) => m.leavingTo !== null),
+        noticed: freeOf((m) => m.noticed),
+        silent: freeOf((m) => m.silentMs > this.settings.reportMs * 2),
+      };
       const waiting = load.demands.map((d) => `${d.tasks}x${d.cpus}@${d.rank}`).join(' ');
       const booting = here.filter((m) => m.booting).length;
       return {
--- a/src/coordination/part-actor.ts
+++ b/src/coordination/part-actor.ts
@@ -39,9 +39,10 @@
   writeRate: number;
   /** How many parts share the state service. */
   parts: number;
+  progressMs: number;
 }
 
-const PROGRESS_MS = 2000;
+const PROGRESS_CALL_MS = 2000;
 /** Of the changes that the state service allows, one in this many raises marks. */
 const MARKS_SHARE = 4;
 const LEAST_MARKS_MS = 400;
@@ -167,11 +168,11 @@
 
   /** Now and then, and sooner if tasks wait for their marks. Only values that differ are written. */
   private async writeProgress(now: number): Promise<void> {
-    const { parts, writeRate, txnOps } = this.options;
+    const { parts, writeRate, txnOps, progressMs } = this.options;
     const marksMs = Math.max(LEAST_MARKS_MS, (1000 * MARKS_SHARE * parts) / writeRate);
     if (this.recording || now - this.recordedAt < marksMs) return;
     const { jobs, marksRaised } = this.core.progress(now);
-    if (!marksRaised && now - this.recordedAt < PROGRESS_MS) return;
+    if (!marksRaised && now - this.recordedAt < progressMs) return;
     this.recordedAt = now;
     const values = this.slots.changed(jobs).slice(0, txnOps);
     if (values.length === 0) return;
@@ -183,8 +184,8 @@
     }));
     // An earlier try that is applied late must not bring lower marks back.
     const unchanged = writes.map(({ put }) => ({ key: put, version: this.ledger.version(put) }));
-    const result = await this.ledger.txn([this.mine, ...unchanged], writes, priority, PROGRESS_MS);
-    if (result.kind === 'applied') await this.ledger.caughtUp(result.revision, PROGRESS_MS);
+    const result = await this.ledger.txn([this.mine, ...unchanged], writes, priority, PROGRESS_CALL_MS);
+    if (result.kind === 'applied') await this.ledger.caughtUp(result.revision, PROGRESS_CALL_MS);
     this.recording = false;
     if (result.kind !== 'applied') return;
     for (const value of values) {
--- a/src/coordination/part-load.ts
+++ b/src/coordination/part-load.ts
@@ -53,14 +53,14 @@
     room.cpus -= tasks * spec.cpus;
     room.accelerators -= tasks * spec.accelerators;
     const seconds = part.estimates.expect(spec);
-    const { cpus, accelerators, memoryGb, types, zone, spot, rank } = spec;
-    const key = JSON.stringify([spec.workload, cpus, memoryGb, types, zone, spot]);
+    const { workload, cpus, accelerators, memoryGb, types, zone, spot, rank } = spec;
+    const key = JSON.stringify([workload, cpus, memoryGb, types, zone, spot]);
     const known = found.get(key);
     if (known) {
       known.seconds = (known.seconds * known.tasks + seconds * tasks) / (known.tasks + tasks);
       known.tasks += tasks;
     } else {
-      found.set(key, { cpus, accelerators, memoryGb, types, zone, spot, rank, tasks, seconds });
+      found.set(key, { workload, cpus, accelerators, memoryGb, types, zone, spot, rank, tasks, seconds });
     }
   }
   return [...found.values()];
--- a/src/coordination/runs.ts
+++ b/src/coordination/runs.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '../transport/clock';
+import { type Measures } from '../transport/measures';
 import { type Book, type BookedJob } from '../storage/book';
 import { type Intake } from '../storage/intake';
 import { Priority, type Ledger } from '../storage/ledger';
@@ -44,9 +45,29 @@
     private readonly clock: Clock,
     private readonly teams: ReadonlyMap<string, Team>,
     private readonly types: () => ReadonlyMap<string, MachineType>,
+    private readonly measures: Measures,
   ) {}
 
-  async submit(body: unknown): Promise<UserAnswer> {
+  submit(body: unknown): Promise<UserAnswer> {
+    return this.timed('submission', this.accept(body));
+  }
+
+  status(ref: string): Promise<UserAnswer> {
+    return this.timed('question', this.tell(ref));
+  }
+
+  cancel(ref: string): Promise<UserAnswer> {
+    return this.timed('cancellation', this.callOff(ref));
+  }
+
+  private async timed(what: string, answer: Promise<UserAnswer>): Promise<UserAnswer> {
+    const since = this.clock.steady();
+    const result = await answer;
+    this.measures.record(what, this.clock.steady() - since);
+    return result;
+  }
+
+  private async accept(body: unknown): Promise<UserAnswer> {
     const read = parseSubmission(body);
     if (!read.ok) return { status: 400, body: { error: read.reason } };
     const { spec } = read;
@@ -77,7 +98,7 @@
   }
 
   private async known(ref: string): Promise<UserAnswer> {
-    const answer = await this.status(ref);
+    const answer = await this.tell(ref);
     return answer.status === 404 ? unavailable('no answer yet') : answer;
   }
 
@@ -86,13 +107,13 @@
     return unavailable(error);
   }
 
-  async status(ref: string): Promise<UserAnswer> {
+  private async tell(ref: string): Promise<UserAnswer> {
     const job = await this.find(ref);
     if (job === null) return this.failed('no answer yet');
     return job === 'absent' ? unknownJob : { status: 200, body: this.shown(job) };
   }
 
-  async cancel(ref: string): Promise<UserAnswer> {
+  private async callOff(ref: string): Promise<UserAnswer> {
     for (let tries = 0; tries < CANCEL_TRIES; tries++) {
       const job = await this.find(ref);
       if (job === null) break;
--- a/src/coordination/server.ts
+++ b/src/coordination/server.ts
@@ -5,6 +5,7 @@
 import { HttpClient } from '../transport/http-client';
 import { type Log } from '../transport/log';
 import { listenForPeers, PeerLink } from '../transport/peer-link';
+import { type Policy } from '../protocol/policy';
 import { type Settings } from '../protocol/settings';
 import { Controller } from './controller';
 import { BODY_LIMIT, fastReports, gateway, REPORT_PATH, type GatewayParts } from './gateway';
@@ -14,9 +15,9 @@
 const CLOUD_CONNECTIONS = 6;
 
 /** Puts a controller on the network. */
-export function serve(settings: Settings, clock: Clock, log: Log): void {
+export function serve(settings: Settings, policy: Policy, clock: Clock, log: Log): void {
   const links = new Map<string, PeerLink>();
-  const controller = new Controller(settings, clock, log, {
+  const controller = new Controller(settings, policy, clock, log, {
     store: new HttpClient(settings.state, STORE_CONNECTIONS),
     watch: new HttpClient(settings.state, WATCH_CONNECTIONS),
     cloud: new HttpClient(settings.cloud, CLOUD_CONNECTIONS),
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -2,6 +2,7 @@
 
 /** What waiting tasks of one shape ask for. */
 export interface Demand {
+  workload: string;
   cpus: number;
   accelerators: number;
   memoryGb: number;
@@ -74,6 +75,7 @@
 const amount = 'double';
 
 const demandType = record('Demand', {
+  workload: text,
   ...{
     cpus: amount,
     accelerators: amount,
--- a/src/storage/ledger.ts
+++ b/src/storage/ledger.ts
@@ -2,6 +2,7 @@
 import { type Clock } from '../transport/clock';
 import { type HttpAnswer } from '../transport/http-client';
 import { type Log } from '../transport/log';
+import { Measures } from '../transport/measures';
 import { Pacer } from '../transport/pacer';
 import {
   parseEntry,
@@ -101,6 +102,7 @@
     private readonly clock: Clock,
     private readonly log: Log,
     options: LedgerOptions,
+    private readonly measures = new Measures(),
   ) {
     // The limits are shared by all controllers without their speaking about it. Load is uneven, so each may
     // use more than its even part; a 429 empties the bucket, which brings the sum back under the limit.
@@ -322,9 +324,11 @@
       if (!(await this.turn(priority, writes, deadline))) return 'expired';
       this.counters.requests++;
       this.counters.writes += writes;
-      const left = Math.max(50, Math.min(CALL_MS, deadline - this.clock.steady()));
+      const sentAt = this.clock.steady();
+      const left = Math.max(50, Math.min(CALL_MS, deadline - sentAt));
       const answer = await this.transport.call(method, path, body, left);
       const now = this.clock.steady();
+      this.measures.record(writes > 0 ? 'store write' : 'store read', now - sentAt);
       if (answer === null) {
         this.counters.unanswered++;
         return null;
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -20,6 +20,11 @@
     this.agent = new Agent({ keepAlive: true, maxSockets: connections, scheduling: 'lifo' });
   }
 
+  /** Lets the process end: kept connections would hold it. */
+  close(): void {
+    this.agent.destroy();
+  }
+
   call(method: string, path: string, body: unknown, timeoutMs: number): Promise<HttpAnswer | null> {
     return new Promise((resolve) => {
       const payload = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -106,6 +106,7 @@
 test('peers understand each other, and nothing else', () => {
   const demand = {
     ...{
+      workload: 'w',
       cpus: 1,
       accelerators: 0,
       memoryGb: 2,
@@ -218,7 +219,8 @@
     assert.equal(String(refused.stderr).trim().split('\n').length, 1);
     assert.equal(run('--config', join(folder, 'none.json')).status, 2);
     assert.match(String(run('--version').stdout), /^\d+\.\d+\.\d+\n$/);
-    assert.match(String(run('--help').stdout), /--config <file>/);
+    assert.match(String(run('--help').stdout), /serve[^]*check[^]*submit[^]*status[^]*cancel/);
+    assert.match(String(run('serve', '--help').stdout), /--config <file>/);
   } finally {
     rmSync(folder, { recursive: true });
   }
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -17,6 +17,7 @@
 import { duesOf, effectiveRank, Estimates, missed } from '../src/coordination/urgency';
 import { type MachineType } from '../src/protocol/cloud';
 import { type JobSpec } from '../src/protocol/jobs';
+import { DEFAULT_POLICY } from '../src/protocol/policy';
 import { type Demand, type MachineLoad, type PartLoad } from '../src/protocol/peers';
 
 function node(state: NodeState, reExecutable = true, alternates: number[] = []): PipelineNode {
@@ -147,7 +148,7 @@
 
 function demand(change: Partial<Demand>): Demand {
   return {
-    ...{ cpus: 1, accelerators: 0, memoryGb: 2, types: null, zone: null, spot: true, rank: 2 },
+    ...{ workload: 'w', cpus: 1, accelerators: 0, memoryGb: 2, types: null, zone: null, spot: true, rank: 2 },
     ...{ tasks: 10, seconds: 60, ...change },
   };
 }
@@ -180,7 +181,7 @@
 test('autoscaling', async (t) => {
   const picture = (change: Partial<FleetPicture>): FleetPicture => ({
     ...{ types: new Map([small, large].map((m) => [m.name, m])), loads: [], machines: [] },
-    ...{ soldOut: () => false, leaseMs: 12_000, ...change },
+    ...{ soldOut: () => false, leaseMs: 12_000, policy: DEFAULT_POLICY, ...change },
   });
   const busy = { tasks: 4, freeCpus: 0, freeMemoryGb: 8, emptyInS: 60 };
   const cases: [string, Partial<FleetPicture>, (actions: ReturnType<typeof scale>) => boolean][] = [
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -11,6 +11,7 @@
   type GatewayParts,
   type ReportReply,
 } from '../src/coordination/gateway';
+import { Measures } from '../src/transport/measures';
 import { serveFront } from '../src/transport/front';
 import { Runs } from '../src/coordination/runs';
 import { Book } from '../src/storage/book';
@@ -45,7 +46,7 @@
 ): Runs {
   const book = new Book(ledger, log);
   const intake = new Intake(ledger, book, clock, { valueBytes: 4096, txnOps: 12, life: 'a-1' });
-  return new Runs(ledger, book, intake, clock, teams, types);
+  return new Runs(ledger, book, intake, clock, teams, types, new Measures());
 }
 
 /** The routes over a stand-in store; its time passes only while somebody waits for an answer. */
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -2,6 +2,7 @@
 import prand from 'pure-rand';
 import type { HttpAnswer } from '../../src/transport/http-client';
 import { reportAnswer, redirectAnswer, parseReport } from '../../src/protocol/workers';
+import { DEFAULT_POLICY } from '../../src/protocol/policy';
 import { parseSettings } from '../../src/protocol/settings';
 import { Controller } from '../../src/coordination/controller';
 import { type UserAnswer } from '../../src/coordination/runs';
@@ -126,6 +127,7 @@
           );
     const controller = new Controller(
       parseSettings(settingsOf(i)),
+      DEFAULT_POLICY,
       this.time.clock(isUp, 1 + (i - 1) * 0.0004),
       pino({ level: 'silent' }),
       {
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -5,17 +5,35 @@
 import { createRequire } from 'node:module';
 import { Script } from 'node:vm';
 
+// What few starts need is kept out of the one file, to be read only when it is asked for.
+const apart = ['fengari', 'hdr-histogram-js'];
+const common = { bundle: true, minify: true, keepNames: true, platform: 'node', target: 'node20', logLevel: 'error' };
+for (const name of apart) {
+  await build({ ...common, stdin: { contents: `module.exports = require('${name}')`, resolveDir: '.' }, outfile: `target/${name}.js` });
+}
+const keepApart = {
+  name: 'keep-apart',
+  setup(build) {
+    build.onResolve({ filter: new RegExp(`^(${apart.join('|')})$`) }, ({ path }) => ({ path: `./${path}.js`, external: true }));
+  },
+};
+
+// Texts in forty languages and tables of character sets that no caller uses make up half of what would be read.
+const leaveOut = {
+  name: 'leave-out',
+  setup(build) {
+    const unused = /(zod.v4.locales.index\.(c?js|mjs)|iconv-lite.encodings.(tables.*|sbcs-data.*|dbcs-data.*))$/;
+    build.onLoad({ filter: unused }, () => ({ contents: 'module.exports = {}', loader: 'js' }));
+  },
+};
+
 await build({
+  ...common,
+  plugins: [keepApart, leaveOut],
   entryPoints: ['target/main.js'],
-  bundle: true,
-  minify: true,
-  keepNames: true,
-  platform: 'node',
-  target: 'node20',
   outfile: 'target/bundle.js',
   banner: { js: '(function (exports, require, module, __filename, __dirname) {' },
   footer: { js: '})' },
-  logLevel: 'error',
 });
 
 // Running it once, with no work to do, makes V8 compile what every start needs.
