--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -115,13 +115,13 @@
   const quiet = picture.loads.every((load) => load.quietS > QUIET_S);
   spare(views, picture, loadOf, quiet, actions);
   const moved = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
-  for (const m of picture.machines) {
-    const load = loadOf.get(m.id);
-    if (m.returning || m.booting || !load || load.tasks > 0 || load.leavingTo !== null || moved.has(m.id))
-      continue;
-    const keepMs = m.spot ? KEEP_IDLE_MS.spot : KEEP_IDLE_MS.ordinary;
+  // What is left of the pool was not needed for anything that waits.
+  for (const { id, part, spot } of pool) {
+    const load = loadOf.get(id);
+    if (!load || load.silentMs < 0 || moved.has(id)) continue;
+    const keepMs = spot ? KEEP_IDLE_MS.spot : KEEP_IDLE_MS.ordinary;
     if (load.idleMs > (quiet ? KEEP_QUIET_MS : keepMs)) {
-      actions.push({ kind: 'retire', machine: m.id, part: m.part, why: 'idle', force: false });
+      actions.push({ kind: 'retire', machine: id, part, why: 'idle', force: false });
     }
   }
   return actions;
--- a/src/coordination/job.ts
+++ b/src/coordination/job.ts
@@ -151,14 +151,21 @@
     return this.mark > this.firstMark || this.done > 0 || this.out.size > 0;
   }
 
-  /** The smallest mark that lets `n` more waiting tasks start. */
-  markFor(n: number): number {
+  /** The smallest mark that lets `n` more waiting tasks start; what may not start before all have spoken is no help. */
+  markFor(n: number, settled: boolean): number {
     let left = n;
-    let i = this.first;
+    let i = settled ? this.first : Math.max(this.first, this.suspectBelow);
     for (; i < this.tasks.length && left > 0; i++) if (this.tasks[i] === TaskState.Waiting) left--;
     return i;
   }
 
+  /** Waiting tasks that surely were never started by an earlier owner. */
+  get freshWaiting(): number {
+    let n = 0;
+    for (let i = this.suspectBelow; i < this.tasks.length; i++) if (this.tasks[i] === TaskState.Waiting) n++;
+    return n;
+  }
+
   progress(maxLength: number): JobProgress {
     const done = encodeRanges(this.tasks, (s) => s >= TaskState.Done, maxLength);
     return { done, doneCount: this.done, running: this.out.size, mark: this.mark };
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -59,6 +59,7 @@
 const SCALE_MS = 500;
 const RETURN_AT_ONCE = 100;
 const RENT_AT_ONCE = 50;
+const ORDERS_A_ROUND = 3;
 /** A part's report costs so little that two controllers carry all; more parts only leave machines on the wrong side. */
 const MOST_PARTS = 2;
 const GATHER_RECORDS_MS = 60;
@@ -217,8 +218,10 @@
     this.assigning = true;
     // The leader counts as holding a little already, so that parts go to the others first.
     const held = new Map([...members.keys()].map((m) => [m, m === this.member.name ? 0.5 : 0]));
-    for (const p of parts)
-      if (held.has(p.record.owner)) held.set(p.record.owner, (held.get(p.record.owner) ?? 0) + 1);
+    // A part that its owner held in an earlier life is not held: it is given anew below, and counted then.
+    for (const { record } of parts)
+      if (members.get(record.owner) === record.incarnation)
+        held.set(record.owner, (held.get(record.owner) ?? 0) + 1);
     const least = (): string | undefined =>
       [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0];
     try {
@@ -539,8 +542,10 @@
         if (owner) this.sendTo(owner, { kind: 'retire', machine, why, force });
       }
     }
-    for (const { kind, parts: takers } of wanted.values()) {
-      for (let i = 0; i < takers.length && this.pacer.take(now, 1); i += RENT_AT_ONCE)
+    for (const [key, { kind, parts: takers }] of wanted) {
+      // A kind that was sold out before may have a few again: one order tells.
+      const most = this.soldOut.has(key) ? RENT_AT_ONCE : ORDERS_A_ROUND * RENT_AT_ONCE;
+      for (let i = 0; i < Math.min(most, takers.length) && this.pacer.take(now, 1); i += RENT_AT_ONCE)
         this.rent(kind, takers.slice(i, i + RENT_AT_ONCE));
     }
   }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -257,11 +257,13 @@
     const jobs = new Map<string, JobProgress>();
     let marksRaised = false;
     let room = this.roomAhead(now);
+    const settled = this.unresolved === 0;
     for (const job of this.sorted()) {
       if (job.state !== 'open' || job.finished) continue;
-      const wants = Math.min(job.waiting, Math.floor(room / Math.max(job.spec.cpus, 0.01)));
+      const waiting = settled ? job.waiting : job.freshWaiting;
+      const wants = job.held ? 0 : Math.min(waiting, Math.floor(room / Math.max(job.spec.cpus, 0.01)));
       room -= wants * job.spec.cpus;
-      const mark = wants > 0 ? Math.max(job.mark, job.markFor(wants)) : job.mark;
+      const mark = wants > 0 ? Math.max(job.mark, job.markFor(wants, settled)) : job.mark;
       if (mark > job.mark) marksRaised = true;
       else if (!job.hasProgress) continue;
       jobs.set(job.ref, { ...job.progress(this.rangeBytes), mark });
@@ -299,6 +301,8 @@
       return { token: machine.token(this.version), commands: [] };
     }
     const wasResolved = machine.resolved;
+    // What booted until now was not idle: counted from its rental it would be returned the moment it is up.
+    if (machine.lastReport === null) machine.idleSince = now;
     const outcome = machine.take(report, this.version, now);
     for (const task of outcome.lost) {
       this.counters.lost++;
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -236,6 +236,15 @@
       },
       (a) => a.length === 1 && a[0]?.kind === 'retire' && a[0].machine === 'i-1',
     ],
+    [
+      // Idle by the report of a moment ago, it was given back while work waited that it was about to get.
+      'one idle for long that waiting work needs stays',
+      {
+        loads: [part('p0', [demand({ tasks: 4 })], [load('i-1', { idleMs: 60_000 })])],
+        machines: [machine('i-1')],
+      },
+      (a) => a.length === 0,
+    ],
     [
       'a part with little work lends what empties soon, when nothing can be rented',
       {
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -380,6 +380,26 @@
       );
     },
   ],
+  [
+    // Marks were raised for tasks that had to wait anyway: a whole lease long nothing new began.
+    'after a take-over marks are raised for tasks that were never begun, while others wait for a silent machine',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('silent', OLD);
+      b.job(spec('job-1', { tasks: 40, cpus: 0.1, memoryGb: 0 }), OLD, '', 20);
+      b.core.recorded(b.core.progress(0).jobs);
+      assert.equal(starts(b.report('m', 0))[0], 'job-1/20');
+    },
+  ],
+  [
+    // Hundreds of machines were given back within seconds of being up: they counted as idle since their rental.
+    'a machine is idle from its first report on, not from its rental',
+    (b) => {
+      b.machine('m', FRESH);
+      b.report('m', 30_000);
+      assert.equal(b.core.load(31_000).machines[0]?.idleMs, 1000);
+    },
+  ],
   [
     // Left out while none of its tasks was out, it lost its mark: the next owner took tasks for never begun.
     'a job whose mark was raised stays on record though nothing of it runs',
