--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -1,5 +1,6 @@
 import { type MachineType, type RentalOrder } from '../protocol/cloud';
 import { URGENCIES } from '../protocol/jobs';
+import { type Policy } from '../protocol/policy';
 import { LEAVES_FLEET, type Demand, type MachineLoad, type PartLoad } from '../protocol/peers';
 import { allows, fits, type Free } from './placement';
 
@@ -24,6 +25,7 @@
   /** Kinds of machine of which the cloud has none just now. */
   soldOut: (kind: Omit<RentalOrder, 'count'>) => boolean;
   leaseMs: number;
+  policy: Policy;
 }
 
 export type FleetAction =
@@ -113,13 +115,13 @@
   const quiet = picture.loads.every((load) => load.quietS > QUIET_S);
   spare(views, picture, loadOf, quiet, actions);
   const moved = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
-  for (const m of picture.machines) {
-    const load = loadOf.get(m.id);
-    if (m.returning || m.booting || !load || load.tasks > 0 || load.leavingTo !== null || moved.has(m.id))
-      continue;
-    const keepMs = m.spot ? KEEP_IDLE_MS.spot : KEEP_IDLE_MS.ordinary;
+  // What is left of the pool was not needed for anything that waits.
+  for (const { id, part, spot } of pool) {
+    const load = loadOf.get(id);
+    if (!load || load.silentMs < 0 || moved.has(id)) continue;
+    const keepMs = spot ? KEEP_IDLE_MS.spot : KEEP_IDLE_MS.ordinary;
     if (load.idleMs > (quiet ? KEEP_QUIET_MS : keepMs)) {
-      actions.push({ kind: 'retire', machine: m.id, part: m.part, why: 'idle', force: false });
+      actions.push({ kind: 'retire', machine: id, part, why: 'idle', force: false });
     }
   }
   return actions;
@@ -248,11 +250,15 @@
   const size = Math.max(demand.cpus, 0.1);
   // What the machines that suit it will have worked off in time needs no new ones.
   const able = part.supply.reduce((sum, s) => sum + (suits(demand, s) ? s.type.cpus : 0), 0);
-  const missing = Math.min(wait.tasks * size, part.ahead / drainS - able);
+  const { headroom, classes } = picture.policy;
+  const missing = Math.min(wait.tasks * size, (headroom * part.ahead) / drainS - able);
   if (missing <= 0) return false;
   // Idle work waits for cheap machines as long as there are any that will come to it.
   const idle = demand.rank === URGENCIES.length - 1;
-  const patient = able > 0 && demand.spot && (idle || part.ahead / drainS <= ORDINARY_PATIENCE * able);
+  const price = classes[demand.workload]?.price ?? 'balanced';
+  const late = part.ahead / drainS > ORDINARY_PATIENCE * able;
+  const waits = price === 'cheap' || (price === 'balanced' && (idle || !late));
+  const patient = able > 0 && demand.spot && waits;
   const order = cheapest(demand, missing, wait.tasks, picture, !patient, inZone);
   const type = order && picture.types.get(order.type);
   if (!order || !type) return false;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -24,7 +24,8 @@
   type MachineType,
   type RentalOrder,
 } from '../protocol/cloud';
-import { type PartLoad, type PeerMessage } from '../protocol/peers';
+import { type MachineLoad, type PartLoad, type PeerMessage } from '../protocol/peers';
+import { type Policy } from '../protocol/policy';
 import { type Settings, type Team } from '../protocol/settings';
 import { type Report } from '../protocol/workers';
 import { type Condition, type Write } from '../protocol/store';
@@ -58,6 +59,7 @@
 const SCALE_MS = 500;
 const RETURN_AT_ONCE = 100;
 const RENT_AT_ONCE = 50;
+const ORDERS_A_ROUND = 3;
 /** A part's report costs so little that two controllers carry all; more parts only leave machines on the wrong side. */
 const MOST_PARTS = 2;
 const GATHER_RECORDS_MS = 60;
@@ -118,6 +120,7 @@
 
   constructor(
     private readonly settings: Settings,
+    private readonly policy: Policy,
     private readonly member: Member,
     private readonly ledger: Ledger,
     private readonly book: Book,
@@ -215,8 +218,10 @@
     this.assigning = true;
     // The leader counts as holding a little already, so that parts go to the others first.
     const held = new Map([...members.keys()].map((m) => [m, m === this.member.name ? 0.5 : 0]));
-    for (const p of parts)
-      if (held.has(p.record.owner)) held.set(p.record.owner, (held.get(p.record.owner) ?? 0) + 1);
+    // A part that its owner held in an earlier life is not held: it is given anew below, and counted then.
+    for (const { record } of parts)
+      if (members.get(record.owner) === record.incarnation)
+        held.set(record.owner, (held.get(record.owner) ?? 0) + 1);
     const least = (): string | undefined =>
       [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0];
     try {
@@ -515,6 +520,7 @@
       machines,
       soldOut: (kind) => (this.soldOut.get(kindKey(kind)) ?? Number.NEGATIVE_INFINITY) > now,
       leaseMs: this.settings.leaseMs,
+      policy: this.policy,
     });
     this.tellFleet(loads, machines, now);
     const owners = new Map(parts.map((p) => [p.id, p.record.owner]));
@@ -536,8 +542,10 @@
         if (owner) this.sendTo(owner, { kind: 'retire', machine, why, force });
       }
     }
-    for (const { kind, parts: takers } of wanted.values()) {
-      for (let i = 0; i < takers.length && this.pacer.take(now, 1); i += RENT_AT_ONCE)
+    for (const [key, { kind, parts: takers }] of wanted) {
+      // A kind that was sold out before may have a few again: one order tells.
+      const most = this.soldOut.has(key) ? RENT_AT_ONCE : ORDERS_A_ROUND * RENT_AT_ONCE;
+      for (let i = 0; i < Math.min(most, takers.length) && this.pacer.take(now, 1); i += RENT_AT_ONCE)
         this.rent(kind, takers.slice(i, i + RENT_AT_ONCE));
     }
   }
@@ -549,7 +557,15 @@
     const parts = loads.map((load) => {
       const here = machines.filter((m) => m.part === load.part && !m.returning);
       const cpus = here.reduce((sum, m) => sum + (this.types.get(m.type)?.cpus ?? 0), 0);
-      const free = load.machines.reduce((sum, m) => sum + m.freeCpus, 0);
+      const freeOf = (which: (m: MachineLoad) => boolean): number =>
+        Math.round(load.machines.filter(which).reduce((sum, m) => sum + m.freeCpus, 0));
+      const free = {
+        all: freeOf(() => true),
+        booting: freeOf((m) => m.silentMs < 0),
+        leaving: freeOf((m) => m.leavingTo !== null),
+        noticed: freeOf((m) => m.noticed),
+        silent: freeOf((m) => m.silentMs > this.settings.reportMs * 2),
+      };
       const waiting = load.demands.map((d) => `${d.tasks}x${d.cpus}@${d.rank}`).join(' ');
       const booting = here.filter((m) => m.booting).length;
       return {
