--- a/src/coordination/job.ts
+++ b/src/coordination/job.ts
@@ -24,7 +24,7 @@
   private readonly errors = new Map<number, number>();
   /** Tasks from here on may not be started yet: a later owner would take them to be nowhere. */
   mark: number;
-  /** Tasks before this one may have been started by an earlier owner. */
+  /** Tasks before this one wait until all machines have spoken: an earlier owner may have started them. */
   readonly suspectBelow: number;
   private readonly firstMark: number;
   /** No waiting task has a smaller number. */
@@ -55,7 +55,9 @@
     // Of a job that may not be run again it must be known whether it was begun: nothing starts before that is kept.
     this.firstMark = Math.min(spec.tasks, this.onceOnly ? 0 : FIRST_MARK);
     this.mark = progress?.mark ?? this.firstMark;
-    this.suspectBelow = suspect ? this.mark : 0;
+    // Where its tasks may be matters to all of them if they must be together or apart.
+    const bound = spec.together || spec.apart;
+    this.suspectBelow = suspect ? (bound ? spec.tasks : this.mark) : 0;
   }
 
   /** Its tasks may not be run a second time. */
@@ -65,7 +67,8 @@
 
   /** Tasks that an earlier owner may have started are neither done nor anywhere. */
   get interrupted(): boolean {
-    for (let i = 0; i < this.suspectBelow; i++) if (this.tasks[i] === TaskState.Waiting) return true;
+    for (let i = 0; i < Math.min(this.suspectBelow, this.mark); i++)
+      if (this.tasks[i] === TaskState.Waiting) return true;
     return false;
   }
 
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -14,28 +14,35 @@
 
 type Fault = (world: World) => void;
 
+interface Status {
+  store: { requests: number; writes: number };
+  parts: { reports: number; looks: number; started: number }[];
+}
+
+/** The state service refuses one controller, one that owns a part if there is any. */
 function refuseOne(w: World, ms: number): void {
-  const node = w.nodes[w.pick(3)];
+  const owners = w.nodes.filter((n) => n.up && (n.controller?.status() as Status).parts.length > 0);
+  const node = owners[w.pick(Math.max(1, owners.length))] ?? w.nodes[0];
   if (!node) return;
   node.storeRefused = true;
   w.time.at(w.time.now + ms, () => (node.storeRefused = false));
 }
 
 function cutApart(w: World, ms: number): void {
-  const node = w.nodes[w.pick(3)];
+  const node = w.nodes[w.pick(w.nodes.length)];
   if (!node) return;
   node.apart = true;
   w.time.at(w.time.now + ms, () => (node.apart = false));
 }
 
 const faults: Record<string, Fault> = {
-  crash: (w) => w.crash(w.pick(3), 3000 + w.pick(4000)),
-  'crash and back at once': (w) => w.crash(w.pick(3), 150),
-  'crash of all': (w) => [0, 1, 2].forEach((i) => w.crash(i, 5000 + i * 200)),
+  crash: (w) => w.crash(w.pick(w.nodes.length), 3000 + w.pick(4000)),
+  'crash and back at once': (w) => w.crash(w.pick(w.nodes.length), 150),
+  'crash of all': (w) => w.nodes.forEach((_, i) => w.crash(i, 5000 + i * 200)),
   'state outage': (w) => w.store.outage(12_000 + w.pick(14_000)),
   'state refuses one': (w) => refuseOne(w, 20_000 + w.pick(15_000)),
   'cut from workers': (w) => {
-    const node = w.nodes[w.pick(3)];
+    const node = w.nodes[w.pick(w.nodes.length)];
     if (!node) return;
     node.cut = true;
     w.time.at(w.time.now + 15_000, () => (node.cut = false));
@@ -56,8 +63,10 @@
   },
   'cut from the state service and peers': (w) => cutApart(w, 8000 + w.pick(25_000)),
   'all back at once, some again in the election': (w) => {
-    for (const i of [0, 1, 2]) w.crash(i, 100 + w.pick(300));
-    for (const i of [0, 1, 2]) w.time.at(w.time.now + 400 + w.pick(900), () => w.crash(i, 100 + w.pick(300)));
+    w.nodes.forEach((_, i) => {
+      w.crash(i, 100 + w.pick(300));
+      w.time.at(w.time.now + 400 + w.pick(900), () => w.crash(i, 100 + w.pick(300)));
+    });
   },
   'machine taken': (w) => {
     const names = [...w.cloud.workers.keys()];
@@ -110,6 +119,40 @@
   }
 });
 
+// What a fleet of hundreds costs is bounded by counts: no wall clock says the same twice.
+test('five controllers and two hundred machines: rules kept, work bounded', async () => {
+  const world = new World(11, { nodes: 5, capacity: 200, teams: 20 });
+  const jobs = 120;
+  world.calmFrom = 50_000;
+  for (let n = 0; n < jobs; n++)
+    world.time.at(2500 + world.pick(n < 60 ? 1000 : 40_000), () => world.submit(n));
+  for (const [at, name] of [
+    [15_000, 'machine taken'],
+    [20_000, 'crash'],
+    [25_000, 'machine hears nothing'],
+    [30_000, 'crash and back at once'],
+  ] as const) {
+    world.time.at(at, () => (faults[name] as Fault)(world));
+  }
+  const day = 110_000;
+  await world.run(day);
+  assert.deepEqual(world.broken, []);
+  assert.deepEqual(
+    world.jobs.filter((j) => j.final === null).map((j) => j.ref),
+    [],
+  );
+  assert.ok(world.cloud.workers.size + world.cloud.taken > 60, 'a fleet came together');
+  const status = world.nodes.map((n) => n.controller?.status() as Status);
+  const sum = (of: (s: Status) => number): number => status.reduce((total, s) => total + of(s), 0);
+  const seconds = day / 1000;
+  assert.ok(sum((s) => s.store.requests) < 90 * seconds, 'requests');
+  // One change for each job and machine would be several times as many.
+  const changes = sum((s) => s.store.writes);
+  assert.ok(changes < 6.5 * seconds, `${changes} changes`);
+  for (const { parts } of status)
+    for (const part of parts) assert.ok(part.looks <= part.reports, 'at most one look for work a report');
+});
+
 /** A day whose one kind of trouble, again and again, is what a guard is there for. */
 async function directedDay(seed: number, trouble: Fault): Promise<World> {
   const world = new World(seed);
@@ -125,7 +168,7 @@
     worker.hung = w.pick(2) === 0;
     w.time.at(w.time.now + 9000, () => (worker.hung = false));
   }
-  for (let i = 0; i < 3; i++) w.crash(i, 1000);
+  w.nodes.forEach((_, i) => w.crash(i, 1000));
 }
 
 /** Each guard taken away must break a rule on such a day, or the days above would prove nothing. */
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -400,6 +400,17 @@
       assert.equal(b.core.load(31_000).machines[0]?.idleMs, 1000);
     },
   ],
+  [
+    // Never begun, they went to one zone while others of the job ran in another, on a machine that had not spoken yet.
+    'tasks that must be together wait for all machines to speak, also if they were never begun',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('silent', OLD, { zone: 'b' });
+      b.job(spec('job-1', { tasks: 4, cpus: 0.1, together: true }), OLD, '', 1);
+      b.core.recorded(b.core.progress(0).jobs);
+      assert.deepEqual(starts(b.report('m', 0)), []);
+    },
+  ],
   [
     // Left out while none of its tasks was out, it lost its mark: the next owner took tasks for never begun.
     'a job whose mark was raised stays on record though nothing of it runs',
--- a/test/standin/fleet.ts
+++ b/test/standin/fleet.ts
@@ -62,6 +62,8 @@
 
   onIt(piece: string): boolean {
     const p = this.pieces.get(piece);
+    // Hanging longer than its lease it executes nothing any more: the first thing it does when it goes on is to stop.
+    if (this.hung && this.time.now - this.lastAnswered > this.hooks.leaseMs) return false;
     return this.up && (p?.status === 'running' || p?.status === 'flushing');
   }
 
@@ -221,7 +223,11 @@
     return name;
   }
 
+  /** How many machines were taken or given back. */
+  taken = 0;
+
   take(name: string): void {
+    this.taken++;
     this.workers.get(name)?.end();
     this.workers.delete(name);
     this.booting.delete(name);
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -35,7 +35,16 @@
   answeredAt: number;
 }
 
-const NODES = 3;
+/** How large a world is. */
+export interface Scale {
+  nodes: number;
+  /** Machines that the cloud has. */
+  capacity: number;
+  /** By how much the teams' limits are multiplied. */
+  teams: number;
+}
+
+const SMALL: Scale = { nodes: 3, capacity: 10, teams: 1 };
 const LEASE_MS = 12_000;
 const CANCEL_MS = 37_000;
 /** Troubles over, a job of which nothing is said for so long is forgotten. */
@@ -50,8 +59,12 @@
   { label: 'large', cpus: 12, memory: 48 },
 ];
 
-function settingsOf(i: number): string {
-  const peers = [0, 1, 2].filter((k) => k !== i);
+function teamsOf({ teams }: Scale): typeof TEAMS {
+  return TEAMS.map((t) => ({ ...t, cpus: t.cpus * teams, cpus_max: t.cpus_max * teams }));
+}
+
+function settingsOf(i: number, scale: Scale): string {
+  const peers = Array.from({ length: scale.nodes }, (_, k) => k).filter((k) => k !== i);
   return JSON.stringify({
     member: `velodrome-${i}`,
     site: 'a',
@@ -60,7 +73,7 @@
     peers: peers.map((k) => ({ member: `velodrome-${k}`, addr: `10.0.0.${k + 1}:8081` })),
     external: { cloud: '10.2.0.2:1', state: '10.2.0.1:1' },
     facts: {
-      teams: TEAMS,
+      teams: teamsOf(scale),
       workers: { report_s: 2, lease_s: LEASE_MS / 1000, cancel_s: CANCEL_MS / 1000 },
       state: { rps: 150, write_rps: 40, value_kb: 4, txn_ops: 12 },
       cloud: { rps: 6, list_lag_s: 3 },
@@ -68,7 +81,7 @@
   });
 }
 
-/** Three controllers in one process under virtual time, with users, workers, cloud and state service around. */
+/** A few controllers in one process under virtual time, with users, workers, cloud and state service around. */
 export class World {
   readonly time = new VirtualTime();
   readonly store = new StandinStore(this.time);
@@ -84,7 +97,10 @@
   private lives = 0;
   private random: prand.RandomGenerator;
 
-  constructor(seed: number) {
+  constructor(
+    seed: number,
+    private readonly scale: Scale = SMALL,
+  ) {
     this.random = prand.xoroshiro128plus(seed);
     const hooks: FleetHooks = {
       began: (worker, piece) => this.began(worker, piece),
@@ -92,13 +108,13 @@
       runMs: (piece) => 2000 + ((piece.length * 7919 + Number(piece.split('/')[1]) * 104_729) % 9000),
       deliver: (node, worker, report) => this.deliver(node, worker, report),
       nodeIndex: (name) => Number(name.split('-')[1]),
-      nodes: NODES,
+      nodes: scale.nodes,
       reportMs: 2000,
       leaseMs: LEASE_MS,
     };
-    this.cloud = new StandinCloud(this.time, hooks, KINDS, ['a', 'b'], 10, 3000, 5000);
+    this.cloud = new StandinCloud(this.time, hooks, KINDS, ['a', 'b'], scale.capacity, 3000, 5000);
     for (let i = 0; i < 3; i++) this.cloud.open('small', i === 0 ? 'a' : 'b', false, 0);
-    for (let i = 0; i < NODES; i++) {
+    for (let i = 0; i < scale.nodes; i++) {
       this.nodes.push({ controller: null, up: false, storeRefused: false, cut: false, apart: false });
       this.boot(i);
     }
@@ -126,7 +142,7 @@
             this.store.request(method, path, body, () => node.storeRefused || node.apart),
           );
     const controller = new Controller(
-      parseSettings(settingsOf(i)),
+      parseSettings(settingsOf(i, this.scale)),
       DEFAULT_POLICY,
       this.time.clock(isUp, 1 + (i - 1) * 0.0004),
       pino({ level: 'silent' }),
@@ -238,7 +254,7 @@
         if (owner === job) yards.add(w.yard);
       }
     }
-    const limit = TEAMS.find((t) => t.name === job.crew)?.cpus_max ?? 0;
+    const limit = teamsOf(this.scale).find((t) => t.name === job.crew)?.cpus_max ?? 0;
     if (used > limit) this.broken.push(`quota: ${job.crew} uses ${used} at ${this.time.now}`);
     if (!job.loaners && worker.loaners) this.broken.push(`wrong_place: ${piece} on a spot machine`);
     if (job.together && yards.size > 1) this.broken.push(`wrong_place: ${piece} apart from its job`);
