--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -61,6 +61,9 @@
 /** Draining leaves room unused: it is worth it for machines whose last task ends soon, and for few at once. */
 const DRAIN_WITHIN_S = 20;
 const DRAIN_AT_ONCE = 0.04;
+/** More at once if the other part would need this many times as long for work that is as urgent. */
+const FAR_BEHIND = 2;
+const DRAIN_FAR_BEHIND = 0.1;
 
 interface Supply {
   id: string;
@@ -334,7 +337,8 @@
     const unmet = taker.waits.filter((w) => w.tasks > 0 && w.demand.rank <= rank);
     let missing = unmet.reduce((sum, w) => sum + w.tasks * w.demand.cpus, 0);
     missing -= (cpus.get(taker) ?? 0) - cpusOf(taker);
-    let draining = DRAIN_AT_ONCE * cpusOf(donor);
+    const farBehind = at(taker) > FAR_BEHIND * at(donor);
+    let draining = (farBehind ? DRAIN_FAR_BEHIND : DRAIN_AT_ONCE) * cpusOf(donor);
     for (const m of donor.load.machines)
       if (m.leavingTo !== null) draining -= typeOf(m.machine, picture)?.cpus ?? 0;
     // Emptiest first: what is free or still booting moves at once.
