--- a/src/coordination/job.ts
+++ b/src/coordination/job.ts
@@ -72,6 +72,10 @@
     return false;
   }
 
+  get begun(): boolean {
+    return this.done > 0 || this.out.size > 0;
+  }
+
   get finished(): boolean {
     return this.done === this.tasks.length;
   }
--- a/src/coordination/urgency.ts
+++ b/src/coordination/urgency.ts
@@ -5,7 +5,7 @@
 export function duesOf(spec: JobSpec, objectives: readonly Objective[]): number[] {
   const dues: number[] = [];
   for (const o of objectives) {
-    if (o.workload !== spec.workload) continue;
+    if (o.kind === 'guarantee' || o.workload !== spec.workload) continue;
     if (o.kind === 'finished') dues.push(o.withinS);
     else if (spec.deadlineS !== null) dues.push(spec.deadlineS * o.times);
   }
@@ -34,6 +34,32 @@
   return ageS > due / 2 && ageS + runS <= due ? spec.rank - 1 : spec.rank;
 }
 
+/** The urgency that work goes up to which has waited too long, whatever its own: nothing but `prod` goes before it. */
+const RAISED = 1;
+/** A job of which nothing has begun for so long goes first, however large, late or idle it is. */
+export const BEGIN_WITHIN_S = 150;
+/** Work within its team's guarantee goes up once this share of the time in which it is to begin is over. */
+const GUARANTEE_SHARE = 0.3;
+const GUARANTEE_S = 60;
+
+export interface Waited {
+  ageS: number;
+  begun: boolean;
+  /** It fits into its team's guarantee together with the team's earlier unfinished jobs. */
+  withinGuarantee: boolean;
+}
+
+/** Whether a job has waited so long that it goes up: nobody starves, and a guarantee counts for more than urgency. */
+export function raised(rank: number, waited: Waited, objectives: readonly Objective[]): number {
+  const within = objectives.find((o) => o.kind === 'guarantee')?.withinS ?? GUARANTEE_S;
+  const owed = waited.withinGuarantee && waited.ageS > GUARANTEE_SHARE * within;
+  return owed || starves(waited) ? Math.min(rank, RAISED) : rank;
+}
+
+export function starves({ ageS, begun }: Waited): boolean {
+  return !begun && ageS > BEGIN_WITHIN_S;
+}
+
 const ENOUGH = 10;
 
 /** Corrects the owners' estimates of a class by what its tasks really took. */
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -62,7 +62,9 @@
 /** What the operator expects of a class of jobs; other kinds of objective say nothing of single jobs. */
 export type Objective =
   | { kind: 'deadline'; workload: string; times: number }
-  | { kind: 'finished'; workload: string; withinS: number };
+  | { kind: 'finished'; workload: string; withinS: number }
+  /** Of all classes: work within its team's guarantee is to begin so soon. */
+  | { kind: 'guarantee'; withinS: number };
 
 export interface Settings {
   member: string;
@@ -109,6 +111,8 @@
       limit: { cpus: t.cpus_max, accelerators: t.gpus_max },
     })),
     objectives: s.facts.objectives.flatMap((o): Objective[] => {
+      if (o.kind === 'guarantee' && o.within_s !== undefined)
+        return [{ kind: 'guarantee', withinS: o.within_s }];
       if (o.class === undefined) return [];
       if (o.kind === 'deadline') return [{ kind: 'deadline', workload: o.class, times: o.times ?? 1 }];
       if (o.kind === 'finished' && o.within_s !== undefined) {
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -14,7 +14,7 @@
   type PipelineNode,
 } from '../src/coordination/recovery';
 import { PROMISE_MS, Truce } from '../src/coordination/truce';
-import { duesOf, effectiveRank, Estimates, missed } from '../src/coordination/urgency';
+import { duesOf, effectiveRank, Estimates, missed, raised, type Waited } from '../src/coordination/urgency';
 import { type MachineType } from '../src/protocol/cloud';
 import { type JobSpec } from '../src/protocol/jobs';
 import { DEFAULT_POLICY } from '../src/protocol/policy';
@@ -354,6 +354,9 @@
     { kind: 'finished' as const, workload: 'other', withinS: 1 },
   ];
   const estimates = new Estimates();
+  const waits = (ageS: number, begun = false, withinGuarantee = false): Waited => ({
+    ...{ ageS, begun, withinGuarantee },
+  });
   const cases: [string, () => unknown, unknown][] = [
     ['all dues of the class, earliest first', () => duesOf(idle, objectives), [100, 150, 250]],
     ['without objectives the deadline', () => duesOf(idle, []), [100]],
@@ -366,6 +369,15 @@
     ['goes up a step when half of its time is gone', () => effectiveRank(idle, [250], 130, 30), 2],
     ['but not once it is too late', () => effectiveRank(idle, [250], 230, 30), 3],
     ['other work keeps its rank', () => effectiveRank({ ...idle, rank: 2 }, [250], 130, 30), 2],
+    ['one that has waited for long without a begin goes up', () => raised(3, waits(160), objectives), 1],
+    ['not once it has begun', () => raised(3, waits(160, true), objectives), 3],
+    ['nor a more urgent one', () => raised(0, waits(160), objectives), 0],
+    ['work within a guarantee goes up sooner', () => raised(3, waits(50, true, true), []), 1],
+    [
+      'as soon as the operators wish',
+      () => [40, 50].map((s) => raised(2, waits(s, false, true), [{ kind: 'guarantee', withinS: 150 }])),
+      [2, 1],
+    ],
     ['estimates count until enough was seen', () => estimates.expect(spec), 30],
     [
       'then what was seen, within bounds',
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -411,6 +411,37 @@
       assert.deepEqual(starts(b.report('m', 0)), []);
     },
   ],
+  [
+    'the largest job begins within four minutes, however many smaller and more urgent ones keep coming',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-0', { tasks: 500, expectedS: 900, rank: 3 }));
+      let live: ReportedTask[] = [];
+      let begun: number | null = null;
+      for (let t = 0; t < 240_000 && begun === null; t += 2000) {
+        b.job(spec(`job-${t + 1}`, { tasks: 8, rank: 1 }));
+        b.core.tick(t, t);
+        const over = live.map((x) => ({ ...x, phase: 'exited' as const, exit: 'done' as const }));
+        const next = b.report('m', t, over).filter((c) => c.op === 'start');
+        if (next.some((c) => c.ref === 'job-0')) begun = t;
+        live = next.map((c) => shown(c, 'running'));
+      }
+      assert.ok(begun !== null && begun < 200_000, `begun at ${begun}`);
+    },
+  ],
+  [
+    "work within its team's guarantee does not wait for ever behind what others flood it with",
+    (b) => {
+      b.machine('m', FRESH);
+      b.core.tick(0, 0);
+      b.job(spec('job-1', { tasks: 2, rank: 3 }));
+      for (let n = 2; n < 9; n++) b.job(spec(`job-${n}`, { tasks: 8, rank: 2 }));
+      assert.ok(!starts(b.report('m', 0)).includes('job-1/0'));
+      b.core.tick(30_000, 30_000);
+      b.machine('n', FRESH);
+      assert.deepEqual(starts(b.report('n', 30_000)).slice(0, 2), ['job-1/0', 'job-1/1']);
+    },
+  ],
   [
     // Left out while none of its tasks was out, it lost its mark: the next owner took tasks for never begun.
     'a job whose mark was raised stays on record though nothing of it runs',
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -24,6 +24,9 @@
   setup(build) {
     const unused = /(zod.v4.locales.index\.(c?js|mjs)|iconv-lite.encodings.(tables.*|sbcs-data.*|dbcs-data.*))$/;
     build.onLoad({ filter: unused }, () => ({ contents: 'module.exports = {}', loader: 'js' }));
+    // Of two thousand media types one is spoken; sorting them all takes longer than anything of ours.
+    const types = { 'application/json': { source: 'iana', charset: 'UTF-8', extensions: ['json'] } };
+    build.onLoad({ filter: /mime-db.db\.json$/ }, () => ({ contents: JSON.stringify(types), loader: 'json' }));
   },
 };
 
