--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -127,6 +127,14 @@
   JSON.stringify({ ...submission, ...change }),
 ];
 
+const linked = (
+  ref: string,
+  pipeline: string,
+  job: string,
+  type = 'begin_on_commit',
+): [string, string, string] => post({ ref, pipeline: { ref: pipeline, after: [{ job, type }] } });
+const many = ['small', ...Array.from({ length: 500 }, (_, i) => `type-${i}`)];
+
 test('what users and workers are answered', async (t) => {
   const cases: [string, [string, string, string?], number, RegExp | null, (() => void)?][] = [
     ['not JSON', ['POST', '/v2/runs', '{'], 400, /error/],
@@ -149,6 +157,22 @@
     ['cancelled', ['POST', '/v2/runs/job-000412/cancel'], 200, /aborted/],
     ['cancelled again', ['POST', '/v2/runs/job-000412/cancel'], 200, /aborted/],
     ['submitted after that', post({}), 200, /aborted/],
+    ['an edge of an unknown type', linked('job-5', 'p', 'job-10', 'maybe'), 400, /type/],
+    ['an edge to a job nobody knows', linked('job-5', 'p', 'job-10'), 422, /job-10 is not known/],
+    ['an edge to itself', linked('job-5', 'p', 'job-5'), 422, /hangs on itself/],
+    ['the first of a pipeline', post({ ref: 'job-10', pipeline: { ref: 'p' } }), 201, /queued/],
+    ['one that waits for it', linked('job-11', 'p', 'job-10'), 201, /queued/],
+    ['that submitted again', linked('job-11', 'p', 'job-10'), 200, /"state":"waiting"/],
+    ['that asked', ['GET', '/v2/runs/job-11'], 200, /"ref":"p","state":"waiting","because":"job-10"/],
+    ['an edge into another pipeline', linked('job-12', 'q', 'job-10'), 422, /not of this pipeline/],
+    ['what it waits for cancelled', ['POST', '/v2/runs/job-10/cancel'], 200, /"aborted"/],
+    [
+      'then it waits for ever, and its pipeline has failed',
+      ['GET', '/v2/runs/job-11'],
+      200,
+      /queued.*"failed":true/,
+    ],
+    ['a description too large to be kept', post({ ref: 'job-6', models: many }), 400, /too large/],
     ['cancelling a job nobody submitted', ['POST', '/v2/runs/job-9/cancel'], 404, /no such job/],
     ['a malformed report', ['POST', '/hello', '{}'], 400, /report/],
     ['a report when nothing can be said', ['POST', '/hello', JSON.stringify(report)], 503, null],
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -442,6 +442,43 @@
       assert.deepEqual(starts(b.report('n', 30_000)).slice(0, 2), ['job-1/0', 'job-1/1']);
     },
   ],
+  [
+    'a job that may not be run again: nothing before its mark, and a lost task ends it; then its fallback begins',
+    (b) => {
+      const link = { ref: 'p', after: [], reExecutable: false, alternateFor: null };
+      const instead = { ...link, reExecutable: true, alternateFor: 'job-1' };
+      b.machine('m', FRESH);
+      b.job(spec('job-1', { tasks: 2, pipeline: link }), FRESH, '', 0);
+      b.job(spec('job-2', { tasks: 1, pipeline: instead }), FRESH + 1);
+      assert.deepEqual(starts(b.report('m', 0)), [], 'not begun before that is on record');
+      b.core.recorded(b.core.progress(0).jobs);
+      const begun = b.report('m', 2000);
+      assert.deepEqual(starts(begun), ['job-1/0', 'job-1/1']);
+      b.report(
+        'm',
+        4000,
+        begun.map((c) => shown(c, 'running')),
+      );
+      b.report('m', 20_000, [], { session: 2, seq: 1 });
+      assert.deepEqual([...b.core.finals], [['job-1', 'failed']]);
+      assert.deepEqual(starts(b.report('m', 22_000, [], { session: 2, seq: 2 })), [], 'not on record yet');
+      b.close('job-1', 'failed');
+      assert.deepEqual(starts(b.report('m', 24_000, [], { session: 2, seq: 3 })), ['job-2/0']);
+    },
+  ],
+  [
+    'after a take-over such a job goes on if all that was begun is there, and fails if not',
+    (b) => {
+      const link = { ref: 'p', after: [], reExecutable: false, alternateFor: null };
+      b.machine('m', OLD);
+      b.job(spec('job-1', { tasks: 2, pipeline: link }), OLD, '', 1);
+      b.job(spec('job-2', { tasks: 2, pipeline: { ...link, ref: 'q' } }), OLD, '', 1);
+      const live: ReportedTask = { ref: 'job-1', index: 0, attempt: 7, phase: 'running', exit: null };
+      b.report('m', 0, [live], { token: OLD * 1024 });
+      b.report('m', 500, [live]);
+      assert.deepEqual([...b.core.finals], [['job-2', 'failed']]);
+    },
+  ],
   [
     // Left out while none of its tasks was out, it lost its mark: the next owner took tasks for never begun.
     'a job whose mark was raised stays on record though nothing of it runs',
