--- /dev/null
+++ b/test/book.test.ts
@@ -0,0 +1,166 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import pino from 'pino';
+import { Book } from '../src/storage/book';
+import { editFleet } from '../src/storage/fleets';
+import { Ledger } from '../src/storage/ledger';
+import { type JobSpec } from '../src/protocol/jobs';
+import { encodeAccepted, encodeFleet, keys, type MachineRecord } from '../src/protocol/records';
+import { VirtualTime } from './standin/clock';
+
+const spec: JobSpec = {
+  ...{ ref: 'job-1', workload: 'w', team: 't', rank: 2, tasks: 4, cpus: 1, accelerators: 0, memoryGb: 2 },
+  ...{ image: 'i', imageGb: 1, types: ['small'], zone: 'a', together: true, apart: false, spot: true },
+  ...{ expectedS: 30, checkpointS: 5, saveS: 1, deadlineS: 90, pipeline: null },
+};
+const kind: MachineRecord = { part: 'p0', phase: 'kept', type: 'small', zone: 'a', spot: true };
+
+/** A book that is told changes as the watch would. */
+class Told {
+  readonly book: Book;
+  readonly events: string[] = [];
+  readonly complaints: string[] = [];
+  private revision = 0;
+
+  constructor() {
+    const never = { call: () => new Promise<never>(() => undefined) };
+    const log = pino(
+      { level: 'error' },
+      { write: (line: string) => void this.complaints.push((JSON.parse(line) as { key: string }).key) },
+    );
+    const clock = new VirtualTime().clock(() => true);
+    const ledger = new Ledger(never, never, clock, log, { requestRate: 1, writeRate: 1, controllers: 1 });
+    this.book = new Book(ledger, log);
+    this.book.events.subscribe((e) => {
+      if (e.kind === 'machine' || e.kind === 'gone') this.events.push(`${e.kind} ${e.id}`);
+      else if (e.kind !== 'members') this.events.push(`${e.kind} ${e.job.spec.ref} ${e.job.state}`);
+    });
+  }
+
+  change(key: string, value: unknown, version = ++this.revision): this {
+    this.revision = Math.max(this.revision, version);
+    // The wire gives back what JSON keeps.
+    const v = JSON.parse(JSON.stringify(value)) as unknown;
+    this.book.ledger.entries.set(key, { key, value: v, version, lease: null });
+    this.book.ledger.changes.next({ key, value: v, version });
+    return this;
+  }
+
+  gone(key: string): this {
+    this.book.ledger.entries.delete(key);
+    this.book.ledger.changes.next({ key, deleted: true, version: ++this.revision });
+    return this;
+  }
+
+  accept(name: string, jobs: JobSpec[], version?: number): this {
+    const value = jobs.map((s) => encodeAccepted({ spec: s, accepted: '2026-01-01T00:00:00.000Z' }));
+    return this.change(keys.batch(name), value, version ?? ++this.revision);
+  }
+
+  fleet(part: string, name: string, ids: string[], change: Partial<MachineRecord> = {}): this {
+    const machines = ids.map((id) => [id, { record: { ...kind, part, ...change }, version: null }] as const);
+    return this.change(keys.fleet(part, name), encodeFleet(machines));
+  }
+}
+
+test('what the store says, by name', async (t) => {
+  const cases: [string, (t: Told) => void][] = [
+    [
+      'a job is kept as it was asked for',
+      (w) => assert.deepEqual(w.accept('a', [spec]).book.jobs.get('job-1')?.spec, spec),
+    ],
+    [
+      'of two batches that hold a job the earlier one counts, in whatever order they are read',
+      (w) => {
+        w.accept('late', [{ ...spec, tasks: 9 }], 20).accept('early', [spec], 10);
+        assert.deepEqual([w.book.jobs.get('job-1')?.version, w.book.jobs.get('job-1')?.spec.tasks], [10, 4]);
+      },
+    ],
+    [
+      'an end that is read before the job is not lost',
+      (w) => {
+        w.change(keys.final('p0', 0), { 'job-1': 'done' }).accept('a', [spec]);
+        assert.equal(w.book.jobs.get('job-1')?.state, 'done');
+        assert.deepEqual(w.events, []);
+      },
+    ],
+    [
+      'done stays done, and a failed job may still be cancelled, for good',
+      (w) => {
+        w.accept('a', [spec, { ...spec, ref: 'job-2' }]);
+        w.change(keys.final('p0', 0), { 'job-1': 'done', 'job-2': 'failed' });
+        w.change(keys.cancel('job-2'), 1).change(keys.final('p0', 0), { 'job-1': 'done', 'job-2': 'failed' });
+        assert.deepEqual(
+          [...w.book.jobs.values()].map((j) => j.state),
+          ['done', 'cancelled'],
+        );
+      },
+    ],
+    [
+      'a machine moves, whichever of the two values is read first',
+      (w) => {
+        for (const order of [0, 1]) {
+          const m = `i-${order}`;
+          w.fleet('p0', 'x', [m]);
+          if (order === 0) w.fleet('p1', m, [m]).gone(keys.fleet('p0', 'x'));
+          else w.gone(keys.fleet('p0', 'x')).fleet('p1', m, [m]);
+          assert.equal(w.book.machines.get(m)?.record.part, 'p1');
+        }
+      },
+    ],
+    [
+      'a value that is written anew is no news of the machines that stay as they are',
+      (w) => {
+        w.fleet('p0', 'x', ['i-1', 'i-2']).fleet('p0', 'y', ['i-3']);
+        w.events.length = 0;
+        const returned = new Map([['i-2', { ...kind, phase: 'returning' as const }]]);
+        const edit = editFleet(w.book, 'p0', returned, 'n', { valueBytes: 4096, txnOps: 12 });
+        assert.deepEqual(edit.conditions, [{ key: keys.fleet('p0', 'x'), version: 1 }]);
+        for (const write of edit.writes) if ('put' in write) w.change(write.put, write.value);
+        assert.deepEqual(w.events, ['machine i-2']);
+        assert.deepEqual([w.book.machines.get('i-1')?.version, w.book.machines.get('i-2')?.version], [1, 3]);
+      },
+    ],
+    [
+      'many machines move with two changes, and their values become one',
+      (w) => {
+        w.fleet('p0', 'x', ['i-1', 'i-2']).fleet('p0', 'y', ['i-3', 'i-4']);
+        const moved = new Map(['i-1', 'i-3'].map((id) => [id, { ...kind, part: 'p1' }]));
+        const { ids, writes } = editFleet(w.book, 'p0', moved, 'n', { valueBytes: 4096, txnOps: 12 });
+        assert.deepEqual(ids, ['i-1', 'i-3']);
+        assert.deepEqual(
+          writes.map((x) => ('put' in x ? `put ${x.put}` : `remove ${x.remove}`)),
+          ['put hb/fleet/p0/x', 'remove hb/fleet/p0/y', 'put hb/fleet/p1/n'],
+        );
+      },
+    ],
+    [
+      'what does not fit into one transaction is left for the next',
+      (w) => {
+        for (let i = 0; i < 5; i++) w.fleet('p0', `x${i}`, [`i-${i}`]);
+        const gone = new Map(Array.from({ length: 5 }, (_, i) => [`i-${i}`, null]));
+        const { ids, writes } = editFleet(w.book, 'p0', gone, 'n', { valueBytes: 4096, txnOps: 3 });
+        assert.deepEqual([ids.length, writes.length], [3, 3]);
+      },
+    ],
+    [
+      'malformed values are named and left out, the rest goes on',
+      (w) => {
+        const bad: [string, unknown][] = [
+          [keys.batch('b'), [['job-9', {}, 'now']]],
+          [keys.final('p0', 1), { 'job-9': 'perhaps' }],
+          [keys.progress('p0', 0), { 'job-9': 'half' }],
+          [keys.fleet('p0', 'z'), { ids: 'i-9' }],
+        ];
+        for (const [key, value] of bad) w.change(key, value);
+        assert.deepEqual(
+          w.complaints,
+          bad.map(([key]) => key),
+        );
+        w.accept('a', [spec]);
+        assert.equal(w.book.jobs.size, 1);
+      },
+    ],
+  ];
+  for (const [name, run] of cases) await t.test(name, () => run(new Told()));
+});
--- a/test/standin/fleet.ts
+++ b/test/standin/fleet.ts
@@ -188,13 +188,16 @@
   memory: number;
 }
 
+/** Machines on a page of the list. */
+const PAGE = 4;
+
 /** Stands in for the cloud: rents, lists late, takes back. */
 export class StandinCloud {
   readonly workers = new Map<string, Worker>();
   private readonly booting = new Map<string, { model: string; yard: string; loaners: boolean }>();
   private readonly since = new Map<string, number>();
   private readonly requests = new Map<string, string[]>();
-  private readonly lists: { at: number; body: object }[] = [];
+  private readonly lists: { at: number; body: { velodromes: { ref: string }[] } }[] = [];
   private count = 0;
   down = false;
 
@@ -258,7 +261,10 @@
     if (method === 'POST') return this.rent(body as Rental, answer);
     this.lists.push({ at: this.time.now, body: this.list() });
     const shown = this.lists.filter((l) => l.at <= this.time.now - this.lagMs).pop();
-    return answer(200, shown?.body ?? { velodromes: [], truncated: false });
+    const from = /from=([^&]*)/.exec(path)?.[1] ?? '';
+    const after = (shown?.body.velodromes ?? []).filter((row) => row.ref > from);
+    // Pages are short here, and what one shows may have changed by the next.
+    return answer(200, { velodromes: after.slice(0, PAGE), truncated: after.length > PAGE });
   }
 
   private rent(
@@ -277,22 +283,20 @@
     return answer(200, { velodromes: names });
   }
 
-  private list(): object {
+  private list(): { velodromes: { ref: string }[] } {
     const row = (
       ref: string,
       m: { model: string; yard: string; loaners: boolean },
       status: string,
-    ): object => ({
+    ): { ref: string; age_s: number } => ({
       ...{ ref, address: '10.1.0.1:9000', model: m.model, yard: m.yard, loaners: m.loaners, status },
       age_s: (this.time.now - (this.since.get(ref) ?? 0)) / 1000,
     });
-    return {
-      velodromes: [
-        ...[...this.workers].map(([ref, w]) => row(ref, w, 'running')),
-        ...[...this.booting].map(([ref, m]) => row(ref, m, 'booting')),
-      ],
-      truncated: false,
-    };
+    const rows = [
+      ...[...this.workers].map(([ref, w]) => row(ref, w, 'running')),
+      ...[...this.booting].map(([ref, m]) => row(ref, m, 'booting')),
+    ];
+    return { velodromes: rows.sort((a, b) => (a.ref < b.ref ? -1 : 1)) };
   }
 }
 
