--- a/src/coordination/urgency.ts
+++ b/src/coordination/urgency.ts
@@ -34,8 +34,10 @@
   return ageS > due / 2 && ageS + runS <= due ? spec.rank - 1 : spec.rank;
 }
 
-/** The urgency that work goes up to which has waited too long, whatever its own: nothing but `prod` goes before it. */
+/** The urgency that a job goes up to of which nothing has begun for too long: nothing but `prod` goes before it. */
 const RAISED = 1;
+/** The urgency that work goes up to which its team is owed: it waits behind urgent work, not behind normal one. */
+const RAISED_OWED = 2;
 /** A job of which nothing has begun for so long goes first, however large, late or idle it is. */
 export const BEGIN_WITHIN_S = 150;
 /** Work within its team's guarantee goes up once this share of the time in which it is to begin is over. */
@@ -53,7 +55,8 @@
 export function raised(rank: number, waited: Waited, objectives: readonly Objective[]): number {
   const within = objectives.find((o) => o.kind === 'guarantee')?.withinS ?? GUARANTEE_S;
   const owed = waited.withinGuarantee && waited.ageS > GUARANTEE_SHARE * within;
-  return owed || starves(waited) ? Math.min(rank, RAISED) : rank;
+  if (starves(waited)) return Math.min(rank, RAISED);
+  return owed ? Math.min(rank, RAISED_OWED) : rank;
 }
 
 export function starves({ ageS, begun }: Waited): boolean {
