--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -64,6 +64,8 @@
 /** More at once if the other part would need this many times as long for work that is as urgent. */
 const FAR_BEHIND = 2;
 const DRAIN_FAR_BEHIND = 0.1;
+/** So many in any case: of a small fleet a share is less than a machine. */
+const FEW_DRAINED = 4;
 
 interface Supply {
   id: string;
@@ -339,8 +341,12 @@
     missing -= (cpus.get(taker) ?? 0) - cpusOf(taker);
     const farBehind = at(taker) > FAR_BEHIND * at(donor);
     let draining = (farBehind ? DRAIN_FAR_BEHIND : DRAIN_AT_ONCE) * cpusOf(donor);
-    for (const m of donor.load.machines)
-      if (m.leavingTo !== null) draining -= typeOf(m.machine, picture)?.cpus ?? 0;
+    let few = FEW_DRAINED;
+    for (const m of donor.load.machines) {
+      if (m.leavingTo === null) continue;
+      draining -= typeOf(m.machine, picture)?.cpus ?? 0;
+      few--;
+    }
     // Emptiest first: what is free or still booting moves at once.
     const offers = donor.supply
       .filter((s) => !taken.has(s.id) && loadOf.has(s.id) && unmet.some((w) => suits(w.demand, s)))
@@ -351,13 +357,16 @@
       // Work beyond the teams' limits cannot use more machines.
       if (missing <= 0 || at(taker) < LEND_FROM_S || at(taker) < LEND_RATIO * at(donor)) break;
       const busy = (loadOf.get(s.id)?.tasks ?? 0) > 0;
-      if (busy && draining <= 0) break;
+      if (busy && draining <= 0 && few <= 0) break;
       // It must not turn the two round.
       if (horizon(donor, has - s.type.cpus, rank) > horizon(taker, gets + s.type.cpus, rank)) continue;
       cpus.set(donor, has - s.type.cpus);
       cpus.set(taker, gets + s.type.cpus);
       missing -= s.type.cpus;
-      if (busy) draining -= s.type.cpus;
+      if (busy) {
+        draining -= s.type.cpus;
+        few--;
+      }
       taken.add(s.id);
       const [fromPart, toPart] = [donor.load.part, taker.load.part];
       actions.push({ kind: 'move', machine: s.id, fromPart, toPart, drain: true });
