Take-overs at fleet size: connections first, newest reports first, no recounts of the fleet

Node takes one connection each time it looks at the sockets; with answers to hundreds of reports between two looks a machine waited longer to be taken than the 4 s that it waits for an answer, so every answer went to one that had given up. Waiting connections are now taken first, reports answered newest first, given-up ones dropped. Machines that have not spoken are counted by difference, and hide of a team no more than what an earlier owner may have started of it.

Left: machines that never spoke hold back what was begun for a whole lease.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -172,7 +172,8 @@
       if (!core.owns(spec.team)) continue;
       const progress = book.progressOf(spec.ref);
       if (state === 'open') actor.tell({ kind: 'job', spec, acceptedAt, version: accepted, progress });
-      else if (spec.pipeline) actor.tell({ kind: 'ended', spec, version: accepted, state });
+      else if (spec.pipeline || state !== 'done')
+        actor.tell({ kind: 'ended', spec, version: accepted, state });
     }
     this.parts.set(id, actor);
     this.log.info(
--- a/src/coordination/job.ts
+++ b/src/coordination/job.ts
@@ -26,6 +26,8 @@
   mark: number;
   /** Tasks before this one wait until all machines have spoken: an earlier owner may have started them. */
   readonly suspectBelow: number;
+  /** How many of those are neither done nor on a machine that we know of. */
+  suspects = 0;
   private readonly firstMark: number;
   /** No waiting task has a smaller number. */
   private first = 0;
@@ -58,6 +60,7 @@
     // Where its tasks may be matters to all of them if they must be together or apart.
     const bound = spec.together || spec.apart;
     this.suspectBelow = suspect ? (bound ? spec.tasks : this.mark) : 0;
+    for (let i = 0; i < this.suspectBelow; i++) if (this.isWaiting(i)) this.suspects++;
   }
 
   /** Its tasks may not be run a second time. */
@@ -104,8 +107,8 @@
 
   /** The task is presumed on a machine. */
   goesOut(index: number, machine: MachineState): void {
+    if (this.isWaiting(index)) this.leavesWaiting(index);
     this.tasks[index] = TaskState.Out;
-    this.waiting--;
     this.out.set(index, machine);
   }
 
@@ -114,12 +117,18 @@
     if (this.tasks[index] !== TaskState.Out) return;
     this.tasks[index] = TaskState.Waiting;
     this.waiting++;
+    if (index < this.suspectBelow) this.suspects++;
     this.first = Math.min(this.first, index);
   }
 
+  private leavesWaiting(index: number): void {
+    this.waiting--;
+    if (index < this.suspectBelow) this.suspects--;
+  }
+
   /** Done is done, whichever attempt it was. */
   finishes(index: number): void {
-    if (this.tasks[index] === TaskState.Waiting) this.waiting--;
+    if (this.isWaiting(index)) this.leavesWaiting(index);
     this.tasks[index] = TaskState.Done;
     this.done++;
     this.notBefore.delete(index);
--- a/src/coordination/part-actor.ts
+++ b/src/coordination/part-actor.ts
@@ -61,6 +61,8 @@
   private recording = false;
   private recordedAt = Number.NEGATIVE_INFINITY;
   private readonly slots: ProgressSlots;
+  private readonly since: number;
+  private settled = false;
 
   constructor(
     readonly core: PartCore,
@@ -74,6 +76,7 @@
   ) {
     super((error) => log.error({ error, part: core.id }, 'part failed'));
     this.slots = new ProgressSlots(options.valueBytes);
+    this.since = clock.steady();
   }
 
   get active(): boolean {
@@ -104,11 +107,13 @@
         this.core.closeJob(message.ref, message.state);
         return;
       case 'ended':
+        this.core.putOver(message.spec, message.state, message.version);
         this.core.putEnded(message.spec, message.state, message.version);
         return;
       case 'tick':
         if (!this.active) return;
         this.core.tick(now, this.clock.today().getTime());
+        this.tellSettled(now);
         for (const { id, toPart } of this.core.emptied()) {
           if (toPart === LEAVES_FLEET) this.relend(id, { phase: 'returning', why: 'spare' }, false);
           else this.relend(id, { part: toPart }, false);
@@ -138,6 +143,15 @@
     }
   }
 
+  /** How long a take-over kept tasks waiting, and what it cost. */
+  private tellSettled(now: number): void {
+    if (this.settled || this.core.unresolved > 0) return;
+    this.settled = true;
+    const { lost, reports, stale } = this.core.counters;
+    const seconds = Math.round((now - this.since) / 100) / 10;
+    this.log.info({ part: this.core.id, seconds, lost, reports, stale }, 'part settled');
+  }
+
   // Ends of jobs.
 
   /** Writes down which jobs have ended, unless their users have cancelled them meanwhile. */
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -9,6 +9,7 @@
 import { partLoad } from './part-load';
 import { PartPipelines } from './pipelines';
 import { allows, fits, zoneRoom, type Free } from './placement';
+import { Unresolved } from './unresolved';
 import { duesOf, effectiveRank, Estimates, missed, raised, starves } from './urgency';
 
 export interface PartOptions {
@@ -34,6 +35,15 @@
 /** Of a stored value, what the ranges of one job may take. */
 const RANGES_SHARE = 0.25;
 
+const NOTHING: Quantity = { cpus: 0, accelerators: 0 };
+
+function addTo(sums: Map<string, Quantity>, spec: JobSpec, tasks: number): void {
+  const sum = sums.get(spec.team) ?? { ...NOTHING };
+  sum.cpus += tasks * spec.cpus;
+  sum.accelerators += tasks * spec.accelerators;
+  sums.set(spec.team, sum);
+}
+
 /**
  * The pure core of a part: the jobs of its teams and the machines lent to it. No tasks of these teams are on
  * any other machine, so everything that quota, placement and recovery ask is known here. A report costs what its
@@ -51,8 +61,11 @@
   private readonly used = new Map<string, Quantity>();
   private readonly limits = new Map<string, Team>();
   private attempts = 0;
-  private unresolvedCount = 0;
-  private unresolvedFree: Quantity = { cpus: 0, accelerators: 0 };
+  private readonly silent = new Unresolved();
+  /** What may be on machines that have not spoken, by team; null: to be summed up anew. */
+  private hidden: Map<string, Quantity> | null = null;
+  /** What jobs that are over may still have there. */
+  private readonly leftOvers = new Map<string, Quantity>();
   private readonly ended = new Map<string, FinalState>();
   private readonly pipelines = new PartPipelines();
   readonly counters = { started: 0, done: 0, lost: 0, failed: 0, reports: 0, stale: 0, looks: 0 };
@@ -97,7 +110,7 @@
     const machine = new MachineState(id, record, version, clean, now);
     machine.locked = record.phase === 'returning';
     this.machines.set(id, machine);
-    if (!clean) this.countUnresolved();
+    if (!clean) this.silent.put(id, this.free(machine));
   }
 
   /** The machine is gone, and everything on it. */
@@ -106,7 +119,7 @@
     if (!machine) return;
     this.machines.delete(id);
     for (const task of machine.clear()) this.giveBack(task);
-    if (!machine.resolved) this.countUnresolved();
+    this.resolved(id);
   }
 
   /** Locks an empty machine, to be moved or returned. False if it is not empty or not known well enough. */
@@ -154,23 +167,15 @@
     return has && machine.free(has);
   }
 
-  /** All that may be on machines that have not spoken yet counts against every team. */
-  private countUnresolved(): void {
-    const before = this.unresolvedCount;
-    this.unresolvedCount = 0;
-    this.unresolvedFree = { cpus: 0, accelerators: 0 };
-    for (const machine of this.machines.values()) {
-      if (machine.resolved) continue;
-      this.unresolvedCount++;
-      const free = this.free(machine);
-      this.unresolvedFree.cpus += Math.max(0, free?.cpus ?? Number.POSITIVE_INFINITY);
-      this.unresolvedFree.accelerators += Math.max(0, free?.accelerators ?? Number.POSITIVE_INFINITY);
-    }
-    if (before > 0 && this.unresolvedCount === 0) this.walkInterrupted();
+  /** Nothing that an earlier owner started can be on this machine unseen any more. */
+  private resolved(id: string): void {
+    if (!this.silent.remove(id)) return;
+    this.leftOvers.clear();
+    this.walkInterrupted();
   }
 
   get unresolved(): number {
-    return this.unresolvedCount;
+    return this.silent.count;
   }
 
   // Jobs.
@@ -188,6 +193,7 @@
     const dues = duesOf(spec, this.options.objectives);
     const job = new PartJob(spec, acceptedAt, dues, progress, suspect, now);
     this.jobs.set(spec.ref, job);
+    this.hidden = null;
     this.pipelines.put(spec, 'open', version);
     this.walkPipeline(spec.ref);
     if (job.finished) this.ended.set(spec.ref, 'done');
@@ -202,6 +208,16 @@
     this.walkPipeline(spec.ref);
   }
 
+  /** A job that was over before we took the part: called off, its tasks may still be on machines that are silent. */
+  putOver(spec: JobSpec, state: JobState, version: number): void {
+    if (this.owns(spec.team) && state !== 'done' && version <= this.version) this.leaves(spec, spec.tasks);
+  }
+
+  private leaves(spec: JobSpec, tasks: number): void {
+    addTo(this.leftOvers, spec, tasks);
+    this.hidden = null;
+  }
+
   /** Holds and releases the jobs of a pipeline as its edges say, and ends those that a failure reaches. */
   private walkPipeline(ref: string): void {
     const view = this.pipelines.viewOf(ref);
@@ -234,6 +250,7 @@
     const job = this.jobs.get(ref);
     if (!job) return;
     job.state = state;
+    if (state !== 'done') this.leaves(job.spec, job.suspects);
     this.jobs.delete(ref);
     this.ended.delete(ref);
     this.queueStale = true;
@@ -311,7 +328,11 @@
     }
     for (const exit of outcome.exits) this.exited(machine, exit, now);
     for (const stranger of outcome.strangers) this.adopt(machine, stranger, now);
-    if (this.unresolvedCount > 0 && (!wasResolved || !machine.resolved)) this.countUnresolved();
+    if (!wasResolved) {
+      if (machine.resolved) this.resolved(machine.id);
+      else this.silent.put(machine.id, this.free(machine));
+    }
+    this.hidden = null;
     if (machine.noticeUntil !== null) this.drain(machine, now);
     if (machine.tasks.size > 0) machine.idleSince = now;
     const commands = machine.answer((exit) => this.forgettable(exit), now);
@@ -423,8 +444,9 @@
       if (!lost) continue;
       this.counters.lost += lost.length;
       for (const task of lost) this.giveBack(task);
-      this.countUnresolved();
+      this.resolved(machine.id);
     }
+    this.hidden = null;
     this.chooseMachines(now);
   }
 
@@ -441,13 +463,33 @@
     );
   }
 
-  /** What a team may still use, counting all that may be on machines that have not spoken yet. */
+  /** What a team may still use, counting all of its own that may be on machines that have not spoken yet. */
   room(team: string): Quantity {
-    const limit = this.limits.get(team)?.limit ?? { cpus: 0, accelerators: 0 };
-    const used = this.used.get(team) ?? { cpus: 0, accelerators: 0 };
+    const limit = this.limits.get(team)?.limit ?? NOTHING;
+    const used = this.used.get(team) ?? NOTHING;
+    const hidden = this.hiddenOf(team);
+    return {
+      cpus: limit.cpus - used.cpus - hidden.cpus,
+      accelerators: limit.accelerators - used.accelerators - hidden.accelerators,
+    };
+  }
+
+  /**
+   * What of a team may run unseen: no more than the machines that have not spoken have room for, nor than the tasks
+   * that an earlier owner may have started, that are neither done nor seen, and what jobs called off may have left.
+   * To count those machines as full against every team would hold teams back that have nothing on them.
+   */
+  private hiddenOf(team: string): Quantity {
+    if (this.silent.count === 0) return NOTHING;
+    if (!this.hidden) {
+      this.hidden = new Map([...this.leftOvers].map(([name, left]) => [name, { ...left }]));
+      for (const { spec, suspects } of this.jobs.values()) addTo(this.hidden, spec, suspects);
+    }
+    const own = this.hidden.get(team) ?? NOTHING;
+    const { most } = this.silent;
     return {
-      cpus: limit.cpus - used.cpus - this.unresolvedFree.cpus,
-      accelerators: limit.accelerators - used.accelerators - this.unresolvedFree.accelerators,
+      cpus: Math.min(most.cpus, own.cpus),
+      accelerators: Math.min(most.accelerators, own.accelerators),
     };
   }
 
--- a/src/coordination/server.ts
+++ b/src/coordination/server.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 import { type Clock } from '../transport/clock';
-import { serveFront } from '../transport/front';
+import { BACKLOG, serveFront } from '../transport/front';
 import { HttpClient } from '../transport/http-client';
 import { type Log } from '../transport/log';
 import { listenForPeers, PeerLink } from '../transport/peer-link';
@@ -37,7 +37,7 @@
   const front = serveFront(REPORT_PATH, fastReports(parts), general, BODY_LIMIT);
   front.on('error', (error) => log.error({ error }, 'cannot listen'));
   const users = split(settings.listen);
-  front.listen(users.port, users.host);
+  front.listen(users.port, users.host, BACKLOG);
   const peers = split(settings.peerListen);
   listenForPeers(
     peers.host,
--- a/src/transport/front.ts
+++ b/src/transport/front.ts
@@ -1,5 +1,6 @@
 import { createServer as createNetServer, type Server as NetServer } from 'node:net';
 import { STATUS_CODES, type Server } from 'node:http';
+import { NewestFirst } from './turns';
 
 /** Takes the body of a request; answers once, at once or later. */
 export type FastHandler = (body: string, answer: (status: number, body: string) => void) => void;
@@ -7,6 +8,9 @@
 const HEAD_END = Buffer.from('\r\n\r\n');
 const MAX_HEAD = 8 * 1024;
 
+/** Connections that may wait to be taken: after a restart the whole fleet comes within a second. */
+export const BACKLOG = 2048;
+
 interface Head {
   length: number;
   close: boolean;
@@ -19,7 +23,9 @@
  */
 export function serveFront(path: string, handle: FastHandler, general: Server, maxBody: number): NetServer {
   const line = `POST ${path} HTTP/1.1\r\n`;
+  const turns = new NewestFirst(() => performance.now(), setImmediate);
   return createNetServer((socket) => {
+    turns.arrived();
     let rest: Buffer = Buffer.alloc(0);
     let answering = false;
     const onData = (chunk: Buffer): void => {
@@ -46,16 +52,20 @@
       const body = end + HEAD_END.length;
       // Bodies mostly come with their heads; else the head is read again once the rest is here.
       if (rest.length < body + head.length) return;
-      const text = rest.toString('utf8', body, body + head.length);
+      const bytes = rest.subarray(body, body + head.length);
       rest = rest.subarray(body + head.length);
       answering = true;
-      handle(text, (status, answer) => {
-        answering = false;
-        if (socket.destroyed) return;
-        socket.write(response(status, answer, head.close));
-        if (head.close) socket.end();
-        else next();
-      });
+      turns.add(
+        () => !socket.destroyed && !socket.readableEnded,
+        () =>
+          handle(bytes.toString('utf8'), (status, answer) => {
+            answering = false;
+            if (socket.destroyed) return;
+            socket.write(response(status, answer, head.close));
+            if (head.close) socket.end();
+            else next();
+          }),
+      );
     };
     socket.setNoDelay(true);
     socket.on('data', onData);
--- /dev/null
+++ b/src/transport/turns.ts
@@ -0,0 +1,57 @@
+/** How long reports are answered at a stretch before the sockets are looked at again. */
+const SLICE_MS = 5;
+/** So many connections are taken in a row before the next report is answered. */
+const MOST_AT_ONCE = 100;
+/**
+ * Requests that wait for their turn, the newest first, behind the connections that wait to be taken. After a start or a
+ * take-over more machines report than can be answered in time. In their order every answer would come just after the
+ * machine has given up and asked elsewhere, and none would be heard for as long as that goes on; the newest is the one
+ * whose sender surely still listens. Between two stretches the sockets are read, so those that were given up are known
+ * and cost nothing more. Node takes one connection each time it looks at the sockets: were reports answered meanwhile,
+ * machines would wait longer to be taken than they wait for an answer.
+ */
+export class NewestFirst {
+  private readonly waiting: { alive: () => boolean; run: () => void }[] = [];
+  private scheduled = false;
+  private connected = false;
+  private inARow = 0;
+
+  constructor(
+    private readonly now: () => number,
+    private readonly soon: (action: () => void) => void,
+  ) {}
+
+  /** A connection was taken: more may wait behind it. */
+  arrived(): void {
+    this.connected = true;
+    this.schedule();
+  }
+
+  add(alive: () => boolean, run: () => void): void {
+    this.waiting.push({ alive, run });
+    this.schedule();
+  }
+
+  private schedule(): void {
+    if (this.scheduled) return;
+    this.scheduled = true;
+    this.soon(() => this.work());
+  }
+
+  private work(): void {
+    this.scheduled = false;
+    if (this.connected && ++this.inARow < MOST_AT_ONCE) {
+      this.connected = false;
+      return this.schedule();
+    }
+    this.connected = false;
+    this.inARow = 0;
+    const until = this.now() + SLICE_MS;
+    for (let next = this.waiting.pop(); next; next = this.waiting.pop()) {
+      if (!next.alive()) continue;
+      next.run();
+      if (this.now() >= until) break;
+    }
+    if (this.waiting.length > 0) this.schedule();
+  }
+}
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { Pacer } from '../src/transport/pacer';
+import { NewestFirst } from '../src/transport/turns';
 import { scale, type FleetMachine, type FleetPicture } from '../src/coordination/autoscale';
 import { splitTeams } from '../src/coordination/leader';
 import { fits, impossible, zoneRoom } from '../src/coordination/placement';
@@ -418,3 +419,80 @@
   pacer.drain(500);
   assert.equal(pacer.take(500, 1), false);
 });
+
+test('reports wait for their turn', async (t) => {
+  type Step = (turns: NewestFirst, log: string[], world: { now: number; gone: Set<string> }) => void;
+  const add =
+    (name: string, costs = 1): Step =>
+    (turns, log, world) =>
+      turns.add(
+        () => !world.gone.has(name),
+        () => {
+          log.push(name);
+          world.now += costs;
+        },
+      );
+  const gone =
+    (name: string): Step =>
+    (_turns, _log, world) =>
+      void world.gone.add(name);
+  const arrived: Step = (turns) => turns.arrived();
+  // Each row: what happens before each look at the sockets, and who is answered after it.
+  const cases: [string, [Step[], string[]][]][] = [
+    [
+      'the newest is answered first',
+      [
+        [
+          [add('a'), add('b'), add('c')],
+          ['c', 'b', 'a'],
+        ],
+      ],
+    ],
+    // A whole fleet behind: answers in order came when nobody listened any more, for half a minute.
+    ['one that was given up costs nothing', [[[add('a'), add('b'), gone('a')], ['b']]]],
+    [
+      'between two stretches the sockets are looked at: newer ones go first, those given up meanwhile go',
+      [
+        [[add('a'), add('b', 5), add('c', 5)], ['c']],
+        [[add('d', 5), gone('b')], ['d']],
+        [[], ['a']],
+      ],
+    ],
+    // Node takes one connection a look: with answers between them, waiting to be taken outlasted the machines' patience.
+    [
+      'connections that wait are taken before the next answer',
+      [
+        [[add('a'), arrived], []],
+        [[arrived], []],
+        [[], ['a']],
+      ],
+    ],
+    [
+      'an endless stream of connections does not keep answers back for ever',
+      Array.from({ length: 100 }, (_, i) => [
+        i === 0 ? [add('a'), arrived] : [arrived],
+        i === 99 ? ['a'] : [],
+      ]),
+    ],
+  ];
+  for (const [name, looks] of cases) {
+    await t.test(name, () => {
+      const world = { now: 0, gone: new Set<string>() };
+      let next: (() => void) | null = null;
+      const turns = new NewestFirst(
+        () => world.now,
+        (action) => (next = action),
+      );
+      const log: string[] = [];
+      for (const [steps, told] of looks) {
+        const before = log.length;
+        for (const step of steps) step(turns, log, world);
+        const action: (() => void) | null = next;
+        next = null;
+        (action as (() => void) | null)?.();
+        assert.deepEqual(log.slice(before), told);
+      }
+      assert.equal(next, null, 'nothing left to do');
+    });
+  }
+});
