Machines are opened on record before their first start: those that never had a task hold nothing up

An owner now tells the store, many machines with one change, before it starts the first task on them; the next owner counts any other as clean.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -152,6 +152,7 @@
         valueBytes: settings.store.valueBytes,
         objectives: settings.objectives,
       },
+      book.openedBy(id),
     );
     const { valueBytes, txnOps, writeRate } = settings.store;
     const progressMs = this.policy.progressS * 1000;
--- a/src/coordination/part-actor.ts
+++ b/src/coordination/part-actor.ts
@@ -3,6 +3,7 @@
 import { type Log } from '../transport/log';
 import { type Book, type BookedProgress } from '../storage/book';
 import { ProgressSlots } from '../storage/progress';
+import { openMachines } from '../storage/opened';
 import { editFleet } from '../storage/fleets';
 import { Priority, type Ledger } from '../storage/ledger';
 import {
@@ -31,6 +32,7 @@
   | { kind: 'retire'; machine: string; why: string; force: boolean }
   | { kind: 'handover'; to: string; incarnation: number }
   | { kind: 'recorded'; jobs: ReadonlyMap<string, JobProgress> }
+  | { kind: 'opened'; machines: string[] }
   | { kind: 'relent'; machines: string[] };
 
 export interface PartActorOptions {
@@ -43,7 +45,7 @@
 }
 
 const PROGRESS_CALL_MS = 2000;
-/** Of the changes that the state service allows, one in this many raises marks. */
+/** Of the changes that the state service allows, one in this many raises marks, and another opens machines. */
 const MARKS_SHARE = 4;
 const LEAST_MARKS_MS = 400;
 /** How many ends are told with one change at most, and how large their value may grow. */
@@ -60,6 +62,8 @@
   private finishing = false;
   private recording = false;
   private recordedAt = Number.NEGATIVE_INFINITY;
+  private opening = false;
+  private openedAt = Number.NEGATIVE_INFINITY;
   private readonly slots: ProgressSlots;
   private readonly since: number;
   private settled = false;
@@ -121,6 +125,7 @@
         if (this.relends.size > 0) void this.writeRelends();
         if (this.core.finals.size > 0) void this.writeFinals();
         void this.writeProgress(now);
+        void this.writeOpened(now);
         return;
       case 'move':
         if (!this.active) return;
@@ -137,6 +142,9 @@
       case 'recorded':
         this.core.recorded(message.jobs);
         return;
+      case 'opened':
+        this.core.open(message.machines);
+        return;
       case 'relent':
         // Those that moved are not here any more, those that go back stay locked by their record.
         for (const id of message.machines) this.core.unlock(id);
@@ -178,13 +186,46 @@
     if (this.core.finals.size > 0) void this.writeFinals();
   }
 
+  /** The least time between two writes of a kind that tasks wait for. */
+  private get betweenMs(): number {
+    const { parts, writeRate } = this.options;
+    return Math.max(LEAST_MARKS_MS, (1000 * MARKS_SHARE * parts) / writeRate);
+  }
+
+  /** Tells the store on which machines tasks are about to be started for the first time. */
+  private async writeOpened(now: number): Promise<void> {
+    if (this.opening || now - this.openedAt < this.betweenMs) return;
+    const machines = this.core.unopened();
+    if (machines.length === 0) return;
+    this.opening = true;
+    this.openedAt = now;
+    const lives = (id: string): boolean => this.core.machines.has(id);
+    const { ids, condition, write } = openMachines(
+      this.book,
+      this.core.id,
+      machines,
+      lives,
+      this.options.valueBytes,
+    );
+    const result = await this.ledger.txn(
+      [this.mine, condition],
+      [write],
+      Priority.Decision,
+      PROGRESS_CALL_MS,
+    );
+    if (result.kind === 'applied') {
+      this.tell({ kind: 'opened', machines: ids });
+      await this.ledger.caughtUp(result.revision, PROGRESS_CALL_MS);
+    }
+    this.opening = false;
+  }
+
   // Progress.
 
   /** Now and then, and sooner if tasks wait for their marks. Only values that differ are written. */
   private async writeProgress(now: number): Promise<void> {
-    const { parts, writeRate, txnOps, progressMs } = this.options;
-    const marksMs = Math.max(LEAST_MARKS_MS, (1000 * MARKS_SHARE * parts) / writeRate);
-    if (this.recording || now - this.recordedAt < marksMs) return;
+    const { txnOps, progressMs } = this.options;
+    if (this.recording || now - this.recordedAt < this.betweenMs) return;
     const { jobs, marksRaised } = this.core.progress(now);
     if (!marksRaised && now - this.recordedAt < progressMs) return;
     this.recordedAt = now;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -79,6 +79,8 @@
     /** What a job that is not open any more asked for; its tasks may still be on machines. */
     private readonly settled: (ref: string) => JobSpec | undefined,
     readonly options: PartOptions,
+    /** Machines that tasks may have been started on, as the store knows: nothing starts on any other. */
+    private readonly opened: Set<string> = new Set<string>(),
   ) {
     for (const team of teams) {
       this.limits.set(team.name, team);
@@ -105,8 +107,9 @@
       known.locked ||= record.phase === 'returning';
       return;
     }
-    // Lent to this part after we took it over: it came with nothing on it (see `lock`).
-    const clean = version > this.version;
+    // Lent to this part after we took it over: it came with nothing on it (see `lock`). The same if no owner of this
+    // part has opened it: most of what boots while a part changes hands would hold up its work for a whole lease.
+    const clean = version > this.version || !this.opened.has(id);
     const machine = new MachineState(id, record, version, clean, now);
     machine.locked = record.phase === 'returning';
     this.machines.set(id, machine);
@@ -118,6 +121,8 @@
     const machine = this.machines.get(id);
     if (!machine) return;
     this.machines.delete(id);
+    // The store's list forgets it as well: should it come back, it is opened anew.
+    this.opened.delete(id);
     for (const task of machine.clear()) this.giveBack(task);
     this.resolved(id);
   }
@@ -148,6 +153,19 @@
     }
   }
 
+  /** Machines that could take tasks once the store knows that they may have some. */
+  unopened(): string[] {
+    const found = [];
+    for (const m of this.machines.values())
+      if (!this.opened.has(m.id) && !m.locked && m.lastReport !== null) found.push(m.id);
+    return found;
+  }
+
+  /** The store knows now that tasks may be on these. */
+  open(machines: readonly string[]): void {
+    for (const id of machines) if (this.machines.has(id)) this.opened.add(id);
+  }
+
   /** Machines that were emptied for another part. */
   emptied(): { id: string; toPart: string }[] {
     const found = [];
@@ -463,6 +481,11 @@
     );
   }
 
+  /** Whether tasks may be started on it at all: nothing unseen is there, it hears us, and the store knows. */
+  private takesWork(machine: MachineState, now: number): boolean {
+    return machine.resolved && machine.hears && this.opened.has(machine.id) && !this.unfit(machine, now);
+  }
+
   /** What a team may still use, counting all of its own that may be on machines that have not spoken yet. */
   room(team: string): Quantity {
     const limit = this.limits.get(team)?.limit ?? NOTHING;
@@ -545,7 +568,7 @@
     const usable: { machine: MachineState; free: number }[] = [];
     for (const machine of this.machines.values()) {
       machine.passedOver = false;
-      if (needed === 0 || !machine.hears || this.unfit(machine, now)) continue;
+      if (needed === 0 || !this.takesWork(machine, now)) continue;
       const free = this.free(machine)?.cpus ?? 0;
       if (free > 0) usable.push({ machine, free });
     }
@@ -562,7 +585,7 @@
    * waited long is not passed over.
    */
   private fill(machine: MachineState, commands: Command[], now: number): void {
-    if (!machine.resolved || !machine.hears || machine.passedOver || this.unfit(machine, now)) return;
+    if (machine.passedOver || !this.takesWork(machine, now)) return;
     const free = this.free(machine);
     if (!free || free.cpus <= 0) return;
     this.counters.looks++;
--- a/src/protocol/records.ts
+++ b/src/protocol/records.ts
@@ -20,6 +20,8 @@
   final: (part: string, n: number): string => `${PREFIX}final/${part}/${n}`,
   /** Progress of a part's open jobs. */
   progress: (part: string, n: number): string => `${PREFIX}progress/${part}/${n}`,
+  /** Machines of a part that tasks may have been started on: told before the first start. */
+  opened: (part: string, n: number): string => `${PREFIX}opened/${part}/${n}`,
   /** Machines of a part. */
   fleet: (part: string, name: string): string => `${PREFIX}fleet/${part}/${name}`,
   /** Never written: asking for it tells the store's revision. */
@@ -147,6 +149,13 @@
   return read.success ? read.data : null;
 }
 
+const openedSchema = z.array(z.string());
+
+export function decodeOpened(value: unknown): string[] | null {
+  const read = openedSchema.safeParse(value);
+  return read.success ? read.data : null;
+}
+
 const progressSchema = z.record(z.string(), z.tuple([z.string(), z.number(), z.number(), z.number()]));
 
 export function encodeProgress(jobs: ReadonlyMap<string, JobProgress>): object {
--- a/src/storage/book.ts
+++ b/src/storage/book.ts
@@ -4,6 +4,7 @@
   decodeBatch,
   decodeFinal,
   decodeFleet,
+  decodeOpened,
   decodeProgress,
   keys,
   partOfKey,
@@ -68,6 +69,8 @@
   types: ReadonlyMap<string, MachineType> = new Map();
   private readonly ended = new Map<string, JobState>();
   private readonly progress = new Map<string, BookedProgress>();
+  /** Machines that a part may have started tasks on, by key. */
+  private readonly opened = new Map<string, readonly string[]>();
   private readonly fleets = new Map<string, Map<string, FleetEntry>>();
 
   constructor(
@@ -103,6 +106,15 @@
     return this.fleets.get(key) ?? new Map<string, FleetEntry>();
   }
 
+  openedIn(key: string): readonly string[] {
+    return this.opened.get(key) ?? [];
+  }
+
+  /** The machines that owners of this part may have started tasks on. */
+  openedBy(part: string): Set<string> {
+    return new Set([...this.opened].flatMap(([key, ids]) => (partOfKey(key) === part ? ids : [])));
+  }
+
   private take(change: Change): void {
     const kind = change.key.slice(PREFIX.length).split('/')[0];
     const value = 'deleted' in change ? null : change.value;
@@ -119,6 +131,12 @@
       }
       case 'progress':
         return this.takeProgress(change.key, value);
+      case 'opened': {
+        const ids = value === null ? [] : decodeOpened(value);
+        if (!ids) return this.malformed(change.key);
+        this.opened.set(change.key, ids);
+        return;
+      }
       case 'fleet':
         return this.takeFleet(change.key, value, change.version);
       case 'part': {
--- /dev/null
+++ b/src/storage/opened.ts
@@ -0,0 +1,37 @@
+import { keys } from '../protocol/records';
+import { type Condition, type Write } from '../protocol/store';
+import { type Book } from './book';
+
+export interface OpenedEdit {
+  /** Those that found room; the others are left for the next one. */
+  ids: string[];
+  condition: Condition;
+  write: Write;
+}
+
+/**
+ * Adds machines to what the store says of a part's opened ones, with one change. Machines that are gone make room for
+ * them, so the list stays as long as the fleet is large.
+ */
+export function openMachines(
+  book: Book,
+  part: string,
+  machines: readonly string[],
+  lives: (id: string) => boolean,
+  valueBytes: number,
+): OpenedEdit {
+  for (let n = 0; ; n++) {
+    const key = keys.opened(part, n);
+    const value = book.openedIn(key).filter(lives);
+    const ids: string[] = [];
+    let bytes = JSON.stringify(value).length;
+    for (const id of machines) {
+      bytes += JSON.stringify(id).length + 1;
+      if (bytes > valueBytes && value.length + ids.length > 0) break;
+      ids.push(id);
+    }
+    if (ids.length === 0) continue;
+    const condition = { key, version: book.ledger.version(key) };
+    return { ids, condition, write: { put: key, value: [...new Set([...value, ...ids])] } };
+  }
+}
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -227,6 +227,12 @@
     trouble: crashWhileSilent,
     breaks: /ran_twice/,
   },
+  {
+    name: 'the next owner is not told which machines may have tasks on them',
+    apply: () => patch(Book.prototype, 'openedBy', { value: () => new Set() }),
+    trouble: crashWhileSilent,
+    breaks: /ran_twice/,
+  },
   {
     name: 'a controller cut from the state service and peers goes on answering its workers',
     apply: () => patch(Member.prototype, 'alive', { value: () => true }),
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -31,6 +31,8 @@
   readonly core: PartCore;
   private seq = 0;
   readonly known = new Map<string, JobSpec>();
+  /** Every machine that is named here was opened before. */
+  private readonly opened = new Set<string>();
 
   constructor(limit = 8) {
     const team = {
@@ -46,11 +48,19 @@
       () => new Map([['small', type]]),
       (r) => this.known.get(r),
       options,
+      this.opened,
     );
   }
 
   machine(id: string, version: number, change: Partial<MachineRecord> = {}): void {
     const row: MachineRecord = { part: 'p0', phase: 'kept', type: 'small', zone: 'a', spot: true, ...change };
+    this.opened.add(id);
+    this.core.putMachine(id, row, version, 0);
+  }
+
+  /** One that no owner of this part has opened. */
+  unopened(id: string, version: number): void {
+    const row: MachineRecord = { part: 'p0', phase: 'kept', type: 'small', zone: 'a', spot: true };
     this.core.putMachine(id, row, version, 0);
   }
 
@@ -215,6 +225,31 @@
       assert.equal(b.core.room('t').cpus, 8, 'all leases over, nothing is hidden');
     },
   ]),
+  [
+    'a machine that nobody opened holds nothing up, and gets nothing before it is',
+    (b) => {
+      b.machine('m', FRESH);
+      b.unopened('booting', OLD);
+      b.job(spec('job-1', { tasks: 6 }), OLD);
+      assert.equal(starts(b.report('m', 0)).length, 4, 'begun before, but surely not there');
+      assert.deepEqual(starts(b.report('booting', 100)), []);
+      assert.deepEqual(b.core.unopened(), ['booting']);
+      b.core.open(['booting']);
+      assert.equal(starts(b.report('booting', 200)).length, 2);
+    },
+  ],
+  [
+    // The store's list forgets machines that are gone: trusted after its return, it would hide tasks from a next owner.
+    'a machine that left and came back is opened anew',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-1'));
+      b.core.dropMachine('m');
+      b.unopened('m', FRESH);
+      assert.deepEqual(starts(b.report('m', 0)), []);
+      assert.deepEqual(b.core.unopened(), ['m']);
+    },
+  ],
   [
     'live tasks are adopted, not started again',
     (b) => {
