--- a/test/book.test.ts
+++ b/test/book.test.ts
@@ -3,6 +3,7 @@
 import pino from 'pino';
 import { Book } from '../src/storage/book';
 import { editFleet } from '../src/storage/fleets';
+import { openMachines } from '../src/storage/opened';
 import { Ledger } from '../src/storage/ledger';
 import { type JobSpec } from '../src/protocol/jobs';
 import { encodeAccepted, encodeFleet, keys, type MachineRecord } from '../src/protocol/records';
@@ -164,3 +165,64 @@
   ];
   for (const [name, run] of cases) await t.test(name, () => run(new Told()));
 });
+
+test('opened machines are listed with one change, in the room that those gone leave', async (t) => {
+  const cases: {
+    name: string;
+    listed: string[][];
+    gone?: string[];
+    open: string[];
+    bytes: number;
+    expect: { n: number; ids: string[]; value: string[] };
+  }[] = [
+    {
+      name: 'the first',
+      listed: [],
+      open: ['a', 'b'],
+      bytes: 100,
+      expect: { n: 0, ids: ['a', 'b'], value: ['a', 'b'] },
+    },
+    {
+      name: 'beside others, none twice',
+      listed: [['a']],
+      open: ['a', 'b'],
+      bytes: 100,
+      expect: { n: 0, ids: ['a', 'b'], value: ['a', 'b'] },
+    },
+    // A list that only grew would not fit into a value after a few hundred rentals.
+    {
+      name: 'in the place of those that are gone',
+      listed: [['a', 'b']],
+      gone: ['a'],
+      open: ['c'],
+      bytes: 12,
+      expect: { n: 0, ids: ['c'], value: ['b', 'c'] },
+    },
+    {
+      name: 'in the next value if one is full, and only as many as fit',
+      listed: [['a', 'b']],
+      open: ['c', 'd', 'e'],
+      bytes: 10,
+      expect: { n: 1, ids: ['c', 'd'], value: ['c', 'd'] },
+    },
+  ];
+  for (const { name, listed, gone, open, bytes, expect } of cases) {
+    await t.test(name, () => {
+      const told = new Told();
+      for (const [n, ids] of listed.entries()) told.change(keys.opened('p0', n), ids);
+      const { ids, condition, write } = openMachines(
+        told.book,
+        'p0',
+        open,
+        (id) => !gone?.includes(id),
+        bytes,
+      );
+      const key = keys.opened('p0', expect.n);
+      assert.deepEqual(ids, expect.ids);
+      assert.deepEqual(write, { put: key, value: expect.value });
+      assert.deepEqual(condition, { key, version: told.book.ledger.version(key) });
+      assert.deepEqual([...told.book.openedBy('p0')], listed.flat());
+      assert.equal(told.book.openedBy('p1').size, 0);
+    });
+  }
+});
