An owner that machines cannot reach hands its part over; late boots keep nothing back; age of machines from the list

The leader sees machines of a part turn up at others while its owner has heard nearly none, and has the part handed over the ordinary way; reports of machines on their way wait up to 2 s for it.

--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -11,7 +11,7 @@
   zone: string;
   spot: boolean;
   returning: boolean;
-  /** Time since this leader first knew of it. */
+  /** Time since its rental. */
   ageMs: number;
   /** Has not reported to its part's owner yet. */
   booting: boolean;
@@ -52,6 +52,8 @@
 const MOVE_S = 6;
 const SETTLE_MS = 3000;
 const LATE_BOOT = 1.7;
+/** A machine is charged for this long at least (PROTOCOL, "Controller nodes -> cloud"). */
+const LEAST_CHARGED_MS = 60_000;
 const SILENT_MS = 30_000;
 /** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
 const ORDINARY_PATIENCE = 2;
@@ -118,6 +120,12 @@
   lend(views, picture, loadOf, actions);
   keep(views, picture, loadOf, actions);
   const quiet = picture.loads.every((load) => load.quietS > QUIET_S);
+  // What takes far longer to boot than it should is waited for only while there is work for it.
+  if (quiet && views.every((v) => v.waits.length === 0)) {
+    for (const m of picture.machines)
+      if (m.booting && m.id !== '' && !m.returning && isLate(m, picture) && m.ageMs > LEAST_CHARGED_MS)
+        actions.push({ kind: 'retire', machine: m.id, part: m.part, why: 'boots too long', force: true });
+  }
   spare(views, picture, loadOf, quiet, actions);
   const moved = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
   // What is left of the pool was not needed for anything that waits.
@@ -161,8 +169,8 @@
   for (const m of picture.machines) {
     const type = picture.types.get(m.type);
     const state = loadOf.get(m.id);
-    const late = m.booting && type !== undefined && m.ageMs > LATE_BOOT * type.bootS * 1000;
-    if (!type || late || m.returning || unusable(state) || (!m.booting && state?.tasks !== 0)) continue;
+    if (!type || isLate(m, picture) || m.returning || unusable(state) || (!m.booting && state?.tasks !== 0))
+      continue;
     const leftS = m.booting ? Math.max(0, type.bootS - m.ageMs / 1000) : 0;
     const free = { cpus: type.cpus, accelerators: type.accelerators, memoryGb: type.memoryGb };
     const settling = !m.booting && (state?.idleMs ?? 0) < SETTLE_MS;
@@ -171,6 +179,11 @@
   return pool;
 }
 
+function isLate(m: FleetMachine, picture: FleetPicture): boolean {
+  const type = picture.types.get(m.type);
+  return m.booting && type !== undefined && m.ageMs > LATE_BOOT * type.bootS * 1000;
+}
+
 function unusable(state: MachineLoad | undefined): boolean {
   return state !== undefined && (state.leavingTo !== null || state.faulty || state.noticed);
 }
@@ -407,7 +420,8 @@
   const moved = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
   for (const part of views) {
     const { part: fromPart, machines } = part.load;
-    const booting = picture.machines.some((m) => m.part === fromPart && m.booting);
+    // One that may never come up must not keep all others: for two minutes nothing was sent off because of it.
+    const booting = picture.machines.some((m) => m.part === fromPart && m.booting && !isLate(m, picture));
     if (part.waits.length > 0 || booting) continue;
     const running = part.supply.filter((s) => !moved.has(s.id) && (loadOf.get(s.id)?.tasks ?? 0) > 0);
     // Room for what is moved off, less what was sent off before and has not settled elsewhere.
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -14,11 +14,16 @@
 import { Member } from './member';
 import { PartCore } from './part';
 import { PartActor } from './part-actor';
+import { Strays } from './reach';
 import { Runs } from './runs';
 import { Truce } from './truce';
 
 const TICK_MS = 250;
 const STATUS_MS = 500;
+/** Machines that come here within this time of a change of owner are merely on their way. */
+const SETTLED_MS = 8000;
+/** Of the 4 s that a machine waits for an answer. */
+const PARKED_MS = 2000;
 const MEASURES_AFTER_MS = 20_000;
 /** A store that has not answered for this long counts as out of reach. */
 const STORE_SILENT_MS = 1500;
@@ -34,6 +39,15 @@
   life: string;
 }
 
+/** A report of a machine whose part may be about to change hands. */
+interface Parked {
+  report: Report;
+  reply: (reply: ReportReply) => void;
+  part: string;
+  /** Version of the part's record when it came. */
+  version: number;
+}
+
 /** One controller: the actors and what joins them. */
 export class Controller {
   private readonly measures = new Measures();
@@ -44,6 +58,11 @@
   private readonly truce: Truce;
   readonly runs: Runs;
   private readonly parts = new Map<string, PartActor>();
+  private readonly strays = new Strays();
+  private lastHeard: number | null = null;
+  /** When the replica first showed a part's present owner. */
+  private readonly ownedSince = new Map<string, { version: number; at: number }>();
+  private parked: Parked[] = [];
   private readonly peerStoreOk = new Map<string, { ok: boolean; at: number }>();
 
   constructor(
@@ -124,9 +143,13 @@
       this.parts.delete(id);
       this.log.info({ part: id }, 'part released');
     }
+    const now = this.clock.steady();
+    for (const { id, version } of this.book.parts.values())
+      if (this.ownedSince.get(id)?.version !== version) this.ownedSince.set(id, { version, at: now });
     for (const booked of this.book.parts.values()) {
       if (!this.parts.has(booked.id) && this.isMine(booked)) this.takeOver(booked);
     }
+    this.unpark((p) => this.book.parts.get(p.part)?.version !== p.version);
   }
 
   private isMine({ record }: BookedPart): boolean {
@@ -187,11 +210,12 @@
 
   report(report: Report, reply: (reply: ReportReply) => void): void {
     const since = this.clock.steady();
+    this.lastHeard = since;
     this.answer(report, reply);
     this.measures.record('report', this.clock.steady() - since);
   }
 
-  private answer(report: Report, reply: (reply: ReportReply) => void): void {
+  private answer(report: Report, reply: (reply: ReportReply) => void, mayWait = true): void {
     if (!this.member.alive()) return reply({ kind: 'busy' });
     const machine = this.book.machines.get(report.machine);
     if (!machine) {
@@ -210,8 +234,35 @@
       });
       return;
     }
-    const owner = this.book.parts.get(machine.record.part)?.record.owner;
-    reply({ kind: 'redirect', owner: this.redirectTo(owner) });
+    const booked = this.book.parts.get(machine.record.part);
+    if (booked && mayWait && this.ownerMayChange(booked, report.machine))
+      return this.park({ report, reply, part: booked.id, version: booked.version });
+    reply({ kind: 'redirect', owner: this.redirectTo(booked?.record.owner) });
+  }
+
+  /**
+   * Many machines come here at once that another controller has owned for a while: it is gone, or cut from them. Sent
+   * back there they would lose seconds of their leases, each time anew, until the part has changed hands.
+   */
+  private ownerMayChange({ id, version }: BookedPart, machine: string): boolean {
+    const now = this.clock.steady();
+    this.strays.note(id, machine, now);
+    const since = this.ownedSince.get(id);
+    if (since?.version !== version || now - since.at < SETTLED_MS) return false;
+    const machines = this.book.fleetOf(id).reduce((n, [, fleet]) => n + fleet.size, 0);
+    return this.strays.many(id, machines, now);
+  }
+
+  private park(parked: Parked): void {
+    this.parked.push(parked);
+    this.clock.after(PARKED_MS, () => this.unpark((p) => p === parked));
+  }
+
+  private unpark(over: (parked: Parked) => boolean): void {
+    const answered = this.parked.filter(over);
+    if (answered.length === 0) return;
+    this.parked = this.parked.filter((p) => !over(p));
+    for (const { report, reply } of answered) this.answer(report, reply, false);
   }
 
   private redirectTo(owner: string | undefined): string | null {
@@ -246,6 +297,7 @@
     switch (message.kind) {
       case 'status':
         this.peerStoreOk.set(message.member, { ok: message.storeOk, at: now });
+        this.leader.tell({ kind: 'heard', member: message.member, heard: message, at: now });
         for (const load of message.parts) this.leader.tell({ kind: 'load', load, at: now });
         return;
       case 'pong':
@@ -278,10 +330,12 @@
       seq: this.truce.ask(now),
       storeOk: this.ledger.answering(STORE_SILENT_MS),
       incarnation: this.member.incarnation,
+      heardMs: this.lastHeard === null ? -1 : now - this.lastHeard,
     };
-    if (leader === this.settings.member) this.take({ ...status, parts });
+    const forLeader = { ...status, parts, strays: this.strays.counts(now) };
+    if (leader === this.settings.member) this.take(forLeader);
     for (const { member: peer } of this.settings.peers)
-      this.sendTo(peer, { ...status, parts: peer === leader ? parts : [] });
+      this.sendTo(peer, peer === leader ? forLeader : { ...status, parts: [], strays: [] });
   }
 
   // Time, health.
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -31,12 +31,14 @@
 import { type Condition, type Write } from '../protocol/store';
 import { scale, type FleetMachine } from './autoscale';
 import { type Member } from './member';
+import { Reach, type Heard } from './reach';
 import { type Truce } from './truce';
 
 type Message =
   | { kind: 'tick' }
   | { kind: 'changed' }
   | { kind: 'load'; load: PartLoad; at: number }
+  | { kind: 'heard'; member: string; heard: Heard; at: number }
   | { kind: 'unknown-machine'; report: Report }
   | { kind: 'listed'; machines: ListedMachine[]; at: number }
   | { kind: 'rented'; order: RentalOrder; parts: string[]; answer: HttpAnswer | null }
@@ -47,7 +49,8 @@
 }
 
 interface Seen {
-  firstKnown: number;
+  /** When it was rented, as far as this leader knows: by the cloud's list, else when it first heard of it. */
+  rentedAt: number;
   firstListed: number | null;
   status: ListedMachine['status'] | null;
   reported: boolean;
@@ -68,6 +71,10 @@
 const CATALOG_MS = 20_000;
 const SOLD_OUT_MS = 12_000;
 const LOAD_FRESH_MS = 6000;
+/** Loads come twice a second: whom machines reach is judged by nothing older. */
+const LOAD_PROMPT_MS = 1500;
+/** The same part is not handed over again before the last time has shown. */
+const HAND_OVER_MS = 5000;
 const CLOUD_MS = 4000;
 const FLEET_LOG_MS = 10_000;
 /** A new leader waits this long for the others before it first shares out the parts. */
@@ -94,6 +101,7 @@
   private since = 0;
   private claiming = false;
   private assigning = false;
+  private readonly reach = new Reach();
   private readonly loads = new Map<string, { load: PartLoad; at: number }>();
   private readonly seen = new Map<string, Seen>();
   private readonly gone = new Set<string>();
@@ -169,6 +177,9 @@
           if (m.silentMs >= 0) this.seenOf(m.machine, now).reported = true;
         return;
       }
+      case 'heard':
+        this.reach.tell(message.member, message.heard, message.at);
+        return;
       case 'unknown-machine':
         if (this.leading) this.meet(message.report);
         return;
@@ -222,8 +233,11 @@
     for (const { record } of parts)
       if (members.get(record.owner) === record.incarnation)
         held.set(record.owner, (held.get(record.owner) ?? 0) + 1);
+    const avoided = (m: string): number => Number(this.reach.avoided(m));
     const least = (): string | undefined =>
-      [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0];
+      [...held].sort(
+        (a, b) => avoided(a[0]) - avoided(b[0]) || a[1] - b[1] || (a[0] < b[0] ? -1 : 1),
+      )[0]?.[0];
     try {
       if (parts.length === 0) {
         // One controller stays free of parts: it leads, and is the spare that takes over. Fewer, larger parts
@@ -248,6 +262,7 @@
           held.set(next, (held.get(next) ?? 0) + 1);
         }
       }
+      this.moveUnreached(parts, now);
       this.balance(parts, held, now);
     } finally {
       this.assigning = false;
@@ -280,9 +295,28 @@
     return result.kind === 'applied';
   }
 
+  /** Hands parts over whose machines reach other controllers and not their owner. */
+  private moveUnreached(parts: readonly BookedPart[], now: number): void {
+    const members = [...this.book.members.keys()];
+    for (const { id, record, version } of parts) {
+      const told = this.loads.get(id);
+      if (told?.load.version !== version || now - told.at > LOAD_PROMPT_MS) continue;
+      const to = this.reach.better(record.owner, told.load, this.settings.reportMs, members, now);
+      if (to === null) continue;
+      this.log.info({ part: id, owner: record.owner, to }, 'machines do not reach the owner');
+      this.handOver(id, record.owner, to, now);
+    }
+  }
+
+  private handOver(part: string, from: string, to: string, now: number): void {
+    if (now - (this.handedOver.get(part) ?? Number.NEGATIVE_INFINITY) < HAND_OVER_MS) return;
+    this.handedOver.set(part, now);
+    this.sendTo(from, { kind: 'handover', part, to });
+  }
+
   /** A controller that holds nothing while another holds two parts or more gets one. */
   private balance(parts: readonly BookedPart[], held: ReadonlyMap<string, number>, now: number): void {
-    const empty = [...held].find(([, n]) => n < 1)?.[0];
+    const empty = [...held].find(([m, n]) => n < 1 && !this.reach.avoided(m))?.[0];
     if (!empty) return;
     const from = [...held].sort((a, b) => b[1] - a[1])[0];
     if (!from || from[1] < 2) return;
@@ -290,9 +324,7 @@
       .filter((p) => p.record.owner === from[0])
       .sort((a, b) => (a.id < b.id ? -1 : 1))
       .pop();
-    if (!part || now - (this.handedOver.get(part.id) ?? Number.NEGATIVE_INFINITY) < 5000) return;
-    this.handedOver.set(part.id, now);
-    this.sendTo(from[0], { kind: 'handover', part: part.id, to: empty });
+    if (part) this.handOver(part.id, from[0], empty, now);
   }
 
   // Machines.
@@ -300,7 +332,7 @@
   private seenOf(id: string, now: number): Seen {
     let seen = this.seen.get(id);
     if (!seen) {
-      seen = { firstKnown: now, firstListed: null, status: null, reported: false };
+      seen = { rentedAt: now, firstListed: null, status: null, reported: false };
       this.seen.set(id, seen);
     }
     return seen;
@@ -378,6 +410,8 @@
       names.add(m.name);
       const seen = this.seenOf(m.name, now);
       seen.firstListed ??= now;
+      // A new leader must not take what has been booting for minutes for something just rented.
+      seen.rentedAt = Math.min(seen.rentedAt, at - m.ageS * 1000);
       seen.status = m.status;
       // A machine that nobody remembers renting: a request that was carried out late, or one of the first.
       if (!this.book.machines.has(m.name)) this.adopt(m.name, m);
@@ -501,7 +535,7 @@
         zone: record.zone,
         spot: record.spot,
         returning: record.phase === 'returning',
-        ageMs: now - seen.firstKnown,
+        ageMs: now - seen.rentedAt,
         booting: !seen.reported && (loadOf.get(id)?.silentMs ?? -1) < 0,
         failed: seen.status === 'failed',
       };
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -50,8 +50,24 @@
   quietS: number;
 }
 
+/** How many machines of a part came to a controller that does not own it. */
+export interface StrayCount {
+  part: string;
+  machines: number;
+}
+
 export type PeerMessage =
-  | { kind: 'status'; member: string; seq: number; storeOk: boolean; incarnation: number; parts: PartLoad[] }
+  | {
+      kind: 'status';
+      member: string;
+      seq: number;
+      storeOk: boolean;
+      incarnation: number;
+      parts: PartLoad[];
+      strays: StrayCount[];
+      /** Time since the sender last heard any machine, -1: never. */
+      heardMs: number;
+    }
   /** Answers status `seq`; `promised`: not to take anything of the asker's over for PROMISE_MS from now. */
   | { kind: 'pong'; member: string; seq: number; storeOk: boolean; promised: boolean }
   /**
@@ -99,8 +115,12 @@
   ...{ part: text, version: 'long', workLeft: listOf(amount), backlog: listOf(amount), quietS: amount },
   ...{ demands: listOf(demandType), machines: listOf(machineType) },
 });
+const strayType = record('StrayCount', { part: text, machines: 'int' });
 const messages: Record<PeerMessage['kind'], Record<string, unknown>> = {
-  status: { member: text, seq: 'long', storeOk: 'boolean', incarnation: 'long', parts: listOf(partType) },
+  status: {
+    ...{ member: text, seq: 'long', storeOk: 'boolean', incarnation: 'long', parts: listOf(partType) },
+    ...{ strays: listOf(strayType), heardMs: amount },
+  },
   pong: { member: text, seq: 'long', storeOk: 'boolean', promised: 'boolean' },
   move: { machine: text, toPart: text, drain: 'boolean' },
   retire: { machine: text, why: text, force: 'boolean' },
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -4,6 +4,7 @@
 import { MachineState } from '../src/coordination/machine';
 import { Member } from '../src/coordination/member';
 import { PartCore } from '../src/coordination/part';
+import { Reach } from '../src/coordination/reach';
 import { Truce } from '../src/coordination/truce';
 import { type JobProgress } from '../src/protocol/records';
 import { Book } from '../src/storage/book';
@@ -171,6 +172,30 @@
   w.nodes.forEach((_, i) => w.crash(i, 1000));
 }
 
+/** An owner of a part does not hear its machines, nor they it, while all else works. */
+function cutFromWorkers(w: World, ms: number): void {
+  const owner = w.nodes.find((n) => n.up && (n.controller?.status() as Status).parts.length > 0);
+  if (!owner) return;
+  owner.cut = true;
+  w.time.at(w.time.now + ms, () => (owner.cut = false));
+}
+
+test('machines whose owner is cut from them alone keep their leases', async () => {
+  const leases = async (): Promise<number> => {
+    const world = await directedDay(3, (w) => cutFromWorkers(w, 30_000));
+    assert.deepEqual(world.broken, []);
+    return world.leasesLost;
+  };
+  const whole = await leases();
+  const restore = patch(Reach.prototype, 'better', { value: () => null });
+  try {
+    const without = await leases();
+    assert.ok(whole < without / 2, `${whole} leases lost, ${without} without the hand-over`);
+  } finally {
+    restore();
+  }
+});
+
 /** Each guard taken away must break a rule on such a day, or the days above would prove nothing. */
 const sabotages: { name: string; apply: () => () => void; trouble: Fault; breaks: RegExp }[] = [
   {
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -141,6 +141,7 @@
   };
   const status: PeerMessage = {
     ...{ kind: 'status', member: 'a', seq: 1, storeOk: true, incarnation: 4, parts: [part] },
+    ...{ strays: [{ part: 'p0', machines: 3 }], heardMs: 1.5 },
   };
   // A field left in the schema after the code had dropped it once silenced every load report.
   assert.deepEqual(
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -14,6 +14,7 @@
   type NodeState,
   type PipelineNode,
 } from '../src/coordination/recovery';
+import { Reach, Strays } from '../src/coordination/reach';
 import { PROMISE_MS, Truce } from '../src/coordination/truce';
 import { duesOf, effectiveRank, Estimates, missed, raised, type Waited } from '../src/coordination/urgency';
 import { type MachineType } from '../src/protocol/cloud';
@@ -216,6 +217,34 @@
       { loads: [part('p0', [], [])], machines: [machine('i-1', { booting: true, ageMs: 90_000 })] },
       (a) => a.length === 1 && a[0]?.kind === 'retire' && a[0].force,
     ],
+    [
+      // A machine that never came up kept two hundred others from being sent off for two minutes.
+      'one that takes far too long to boot does not keep the others of its part',
+      {
+        loads: [
+          part(
+            'p0',
+            [],
+            [
+              load('i-1', { tasks: 1, freeCpus: 3, emptyInS: 60 }),
+              load('i-2', { tasks: 1, freeCpus: 3, emptyInS: 60 }),
+              load('i-3', { silentMs: -1 }),
+            ],
+            { quietS: 30 },
+          ),
+        ],
+        machines: [machine('i-1'), machine('i-2'), machine('i-3', { booting: true, ageMs: 50_000 })],
+      },
+      (a) => a.length === 1 && a[0]?.kind === 'move' && a[0].drain,
+    ],
+    [
+      'nor is it waited for once there is no work',
+      {
+        loads: [part('p0', [], [load('i-1', { silentMs: -1 })], { quietS: 30 })],
+        machines: [machine('i-1', { booting: true, ageMs: 61_000 })],
+      },
+      (a) => a.length === 1 && a[0]?.kind === 'retire' && a[0].force,
+    ],
     [
       'an idle machine of another part moves instead of a rental',
       {
@@ -294,6 +323,64 @@
   }
 });
 
+test('whom machines reach', async (t) => {
+  const REPORT_MS = 2000;
+  const silent = (n: number, ms: number): MachineLoad[] =>
+    Array.from({ length: n }, (_, i) => load(`i-${i}`, { silentMs: ms }));
+  type Told = Record<string, number>;
+  // What the owner `a` has heard, at whom its machines turn up, and who is to have the part.
+  const cases: [string, MachineLoad[], Told, string | null][] = [
+    ['an owner that hears its machines keeps them', silent(8, 1000), { b: 8 }, null],
+    ['one that hears none while they come to another', silent(8, 6000), { b: 4, c: 1 }, 'b'],
+    // Machines that are gone come to nobody: to hand the part over would only cost a take-over.
+    ['machines that come to nobody are gone', silent(8, 6000), {}, null],
+    ['a single one that turns up proves little', silent(8, 6000), { b: 1 }, null],
+    [
+      'a zone that does not get through is no reason',
+      [...silent(4, 6000), ...silent(4, 500)],
+      { b: 4 },
+      null,
+    ],
+    ['machines that still boot say nothing', silent(8, -1), { b: 8 }, null],
+  ];
+  const heard = (machines: number, heardMs = 100) => ({ strays: [{ part: 'p0', machines }], heardMs });
+  for (const [name, machines, told, to] of cases) {
+    await t.test(name, () => {
+      const reach = new Reach();
+      for (const [member, n] of Object.entries(told)) reach.tell(member, heard(n), 0);
+      const better = reach.better('a', part('p0', [], machines), REPORT_MS, ['a', 'b', 'c'], 100);
+      assert.equal(better, to);
+      assert.equal(reach.avoided('a'), to !== null);
+    });
+  }
+  // Given back at once to a controller that is still cut off, a part would go to and fro.
+  const returns: [string, number, number, boolean][] = [
+    ['an owner that was cut off gets nothing for a while, whatever it hears', 10_000, 100, true],
+    ['then nothing while it hears nobody', 30_000, 30_000, true],
+    ['it is back once it hears machines', 30_000, 100, false],
+    ['or after a long time', 70_000, -1, false],
+  ];
+  for (const [name, at, heardMs, avoided] of returns) {
+    await t.test(name, () => {
+      const reach = new Reach();
+      reach.tell('b', heard(8), 0);
+      reach.better('a', part('p0', [], silent(8, 6000)), REPORT_MS, ['a', 'b'], 100);
+      reach.tell('a', { strays: [], heardMs }, at);
+      assert.equal(reach.avoided('a'), avoided);
+    });
+  }
+  await t.test('reports wait for a change of owner only if many machines stray, and lately', () => {
+    const strays = new Strays();
+    for (let i = 0; i < 5; i++) strays.note('p0', `i-${i % 3}`, i * 100);
+    assert.equal(strays.many('p0', 30, 500), true);
+    assert.equal(strays.many('p0', 31, 500), false, 'a few of many');
+    assert.equal(strays.many('p0', 30, 3000), false, 'a while ago');
+    assert.deepEqual(strays.counts(500), [{ part: 'p0', machines: 3 }], 'each counts once');
+    strays.note('p0', 'i-9', 8000);
+    assert.deepEqual(strays.counts(8000), [{ part: 'p0', machines: 1 }]);
+  });
+});
+
 test('truce', async (t) => {
   const promisedAt = 10_000;
   const truce = new Truce(['b', 'c'], 0);
--- a/test/standin/fleet.ts
+++ b/test/standin/fleet.ts
@@ -20,6 +20,8 @@
   /** Called when a task begins on a machine; throws if a rule is broken. */
   began: (machine: Worker, piece: string) => void;
   completed: (piece: string) => void;
+  /** A lease ran out, and with it everything on the machine. */
+  expired: () => void;
   runMs: (piece: string) => number;
   /** Brings a report to a controller; null: no answer in time. */
   deliver: (node: number, worker: Worker, report: object) => Promise<HttpAnswer | null>;
@@ -89,6 +91,7 @@
 
   private checkLease(): void {
     if (this.time.now - this.lastAnswered <= this.hooks.leaseMs) return;
+    if (this.pieces.size > 0) this.hooks.expired();
     this.dropAll();
     this.shift++;
     this.lastAnswered = this.time.now;
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -92,6 +92,8 @@
   readonly broken: string[] = [];
   readonly completed = new Set<string>();
   started = 0;
+  /** Leases of machines with tasks on them that ran out. */
+  leasesLost = 0;
   /** When all troubles are over. */
   calmFrom = Number.POSITIVE_INFINITY;
   private lives = 0;
@@ -105,6 +107,7 @@
     const hooks: FleetHooks = {
       began: (worker, piece) => this.began(worker, piece),
       completed: (piece) => this.completed.add(piece),
+      expired: () => this.leasesLost++,
       runMs: (piece) => 2000 + ((piece.length * 7919 + Number(piece.split('/')[1]) * 104_729) % 9000),
       deliver: (node, worker, report) => this.deliver(node, worker, report),
       nodeIndex: (name) => Number(name.split('-')[1]),
