--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -26,6 +26,7 @@
 const SETTLED_MS = 8000;
 /** Of the 4 s that a machine waits for an answer. */
 const PARKED_MS = 2000;
+const PARKED_BRIEFLY_MS = 800;
 const MEASURES_AFTER_MS = 20_000;
 /** A store that has not answered for this long counts as out of reach. */
 const STORE_SILENT_MS = 1500;
@@ -239,7 +240,7 @@
     }
     const booked = this.book.parts.get(machine.record.part);
     if (booked && mayWait && this.ownerMayChange(booked, report.machine))
-      return this.park({ report, reply, part: booked.id, version: booked.version });
+      return this.park({ report, reply, part: booked.id, version: booked.version }, this.parkedMs(booked));
     reply({ kind: 'redirect', owner: this.redirectTo(booked?.record.owner) });
   }
 
@@ -247,18 +248,23 @@
    * Many machines come here at once that another controller has owned for a while: it is gone, or cut from them. Sent
    * back there they would lose seconds of their leases, each time anew, until the part has changed hands.
    */
-  private ownerMayChange({ id, version }: BookedPart, machine: string): boolean {
+  private ownerMayChange({ id }: BookedPart, machine: string): boolean {
     const now = this.clock.steady();
     this.strays.note(id, machine, now);
-    const since = this.ownedSince.get(id);
-    if (since?.version !== version || now - since.at < SETTLED_MS) return false;
     const machines = this.book.fleetOf(id).reduce((n, [, fleet]) => n + fleet.size, 0);
     return this.strays.many(id, machines, now);
   }
 
-  private park(parked: Parked): void {
+  /** Just after a change of owner they are on their way to the new one, who is glad if not all come at once. */
+  private parkedMs({ id, version }: BookedPart): number {
+    const since = this.ownedSince.get(id);
+    const settled = since?.version === version && this.clock.steady() - since.at > SETTLED_MS;
+    return settled ? PARKED_MS : PARKED_BRIEFLY_MS;
+  }
+
+  private park(parked: Parked, ms: number): void {
     this.parked.push(parked);
-    this.clock.after(PARKED_MS, () => this.unpark((p) => p === parked));
+    this.clock.after(ms, () => this.unpark((p) => p === parked));
   }
 
   private unpark(over: (parked: Parked) => boolean): void {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -73,6 +73,8 @@
 const RECORDS_A_VALUE = 50;
 const CATALOG_MS = 20_000;
 const SOLD_OUT_MS = 12_000;
+const SETTLING_SHARE = 0.25;
+const SETTLING_MS = 8000;
 const LOAD_FRESH_MS = 6000;
 /** Loads come twice a second: whom machines reach is judged by nothing older. */
 const LOAD_PROMPT_MS = 2500;
@@ -117,6 +119,8 @@
   private readonly strangers = new Map<string, { session: number; seq: number }>();
   private scaledAt = Number.NEGATIVE_INFINITY;
   private newLoads = false;
+  /** When this leader first heard of a part under its present owner. */
+  private readonly takenOver = new Map<string, { version: number; at: number }>();
   private records = 0;
   private readonly returning = new Set<string>();
   private readonly soldOut = new Map<string, number>();
@@ -537,6 +541,7 @@
       .map((p) => this.loads.get(p.id))
       .filter((l): l is { load: PartLoad; at: number } => l !== undefined && now - l.at < LOAD_FRESH_MS)
       .map((l) => l.load);
+    if (loads.some((load) => this.settles(load, now))) return;
     const loadOf = new Map(loads.flatMap((l) => l.machines).map((m) => [m.machine, m]));
     const machines: FleetMachine[] = [...this.book.machines].map(([id, { record }]) => {
       const seen = this.seenOf(id, now);
@@ -596,6 +601,17 @@
     }
   }
 
+  /**
+   * A part that was just taken over: most of its machines have not spoken, so nothing is known of what they lack. To plan
+   * a fleet of hundreds meanwhile would take the time in which its owner, who may be this controller, must answer them.
+   */
+  private settles({ part, version, machines, unresolved }: PartLoad, now: number): boolean {
+    const known = this.takenOver.get(part);
+    if (known?.version !== version) this.takenOver.set(part, { version, at: now });
+    const since = known?.version === version ? known.at : now;
+    return unresolved > SETTLING_SHARE * machines.length && now - since < SETTLING_MS;
+  }
+
   /** The fleet at a glance, for the log. */
   private tellFleet(loads: readonly PartLoad[], machines: readonly FleetMachine[], now: number): void {
     if (now - this.toldFleetAt < FLEET_LOG_MS) return;
--- a/src/coordination/part-load.ts
+++ b/src/coordination/part-load.ts
@@ -16,6 +16,7 @@
   return {
     part: part.id,
     version: part.version,
+    unresolved: part.unresolved,
     workLeft,
     quietS: (now - part.lastArrival) / 1000,
     backlog,
--- a/src/coordination/reach.ts
+++ b/src/coordination/reach.ts
@@ -87,9 +87,13 @@
     others: readonly string[],
     now: number,
   ): string | null {
+    const tooLong = 1.25 * reportMs + 1000;
     const up = load.machines.filter((m) => m.silentMs >= 0);
-    const unheard = up.filter((m) => m.silentMs > 1.25 * reportMs + 1000).length;
+    const unheard = up.filter((m) => m.silentMs > tooLong).length;
     if (up.length === 0 || unheard < UNHEARD * up.length) return null;
+    // One that hears some machine, late as it may, is not cut off but has too much to do: a take-over makes it more.
+    const heardMs = this.told.get(owner)?.heardMs ?? 0;
+    if (heardMs < tooLong) return null;
     const straysAt = (member: string): number => {
       const told = this.told.get(member);
       if (!told || now - told.at > HEARD_LATELY_MS) return 0;
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -42,6 +42,8 @@
   version: number;
   demands: Demand[];
   machines: MachineLoad[];
+  /** Machines that have not spoken since it was taken over. */
+  unresolved: number;
   /** CPU seconds that the tasks now out are expected to take still, by urgency. */
   workLeft: number[];
   /** CPU seconds that wait, also beyond what the teams' limits allow now, by urgency. */
@@ -112,7 +114,14 @@
   emptyInS: amount,
 });
 const partType = record('PartLoad', {
-  ...{ part: text, version: 'long', workLeft: listOf(amount), backlog: listOf(amount), quietS: amount },
+  ...{
+    part: text,
+    version: 'long',
+    workLeft: listOf(amount),
+    backlog: listOf(amount),
+    quietS: amount,
+    unresolved: 'int',
+  },
   ...{ demands: listOf(demandType), machines: listOf(machineType) },
 });
 const strayType = record('StrayCount', { part: text, machines: 'int' });
--- a/src/transport/front.ts
+++ b/src/transport/front.ts
@@ -8,8 +8,11 @@
 const HEAD_END = Buffer.from('\r\n\r\n');
 const MAX_HEAD = 8 * 1024;
 
-/** Connections that may wait to be taken: after a restart the whole fleet comes within a second. */
-export const BACKLOG = 2048;
+/**
+ * Connections that may wait to be taken. They are taken in their order, so with more of them than a second's work each
+ * would be given up by the time it is its turn; one that finds no place costs nothing and comes again.
+ */
+export const BACKLOG = 128;
 
 interface Head {
   length: number;
--- a/src/transport/turns.ts
+++ b/src/transport/turns.ts
@@ -1,7 +1,7 @@
 /** How long reports are answered at a stretch before the sockets are looked at again. */
 const SLICE_MS = 5;
-/** So many connections are taken in a row before the next report is answered. */
-const MOST_AT_ONCE = 100;
+/** So many connections are taken in a row before the next stretch: about as much work, so neither waits for the other. */
+const MOST_AT_ONCE = 16;
 interface Waiting {
   alive: () => boolean;
   run: () => void;
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -149,6 +149,7 @@
     version: 9,
     workLeft: [1, 0, 0, 0],
     backlog: [0, 2, 0, 0],
+    unresolved: 2,
     quietS: 3,
     demands: [demand],
     machines: [machine],
