--- a/src/coordination/job.ts
+++ b/src/coordination/job.ts
@@ -75,8 +75,16 @@
     return false;
   }
 
-  get begun(): boolean {
-    return this.done > 0 || this.out.size > 0;
+  /**
+   * Whether half of what its team's limit allows at once has begun. A single task of hundreds is no beginning: a large
+   * job with one was passed over for four minutes.
+   */
+  begun(limitCpus: number): boolean {
+    const most = Math.min(
+      this.spec.tasks,
+      Math.max(1, Math.floor(limitCpus / Math.max(this.spec.cpus, 0.01))),
+    );
+    return 2 * (this.done + this.out.size) >= most;
   }
 
   get finished(): boolean {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -525,9 +525,10 @@
     const owed = this.withinGuarantee();
     const turns = new Map<PartJob, { late: number; turn: number }>();
     for (const job of this.jobs.values()) {
-      const { spec, dues, acceptedAt, begun } = job;
+      const { spec, dues, acceptedAt } = job;
       const ageS = (this.today - acceptedAt) / 1000;
       const expectedS = this.estimates.expect(spec);
+      const begun = job.begun(this.limits.get(spec.team)?.limit.cpus ?? 0);
       const waited = { ageS, begun, withinGuarantee: owed.has(job) };
       const rank = effectiveRank(spec, dues, ageS, expectedS * SURELY_NEEDED);
       job.rank = raised(rank, waited, this.options.objectives);
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -69,6 +69,13 @@
       w.time.at(w.time.now + 400 + w.pick(900), () => w.crash(i, 100 + w.pick(300)));
     });
   },
+  'controller stands still': (w) => {
+    const node = w.nodes[w.pick(w.nodes.length)];
+    if (node) node.stillUntil = w.time.now + 6000 + w.pick(20_000);
+  },
+  'half of the machines die together': (w) => {
+    for (const name of [...w.cloud.workers.keys()]) if (w.pick(2) === 0) w.cloud.take(name);
+  },
   'machine taken': (w) => {
     const names = [...w.cloud.workers.keys()];
     const name = names[w.pick(Math.max(1, names.length))];
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -238,6 +238,28 @@
       assert.equal(starts(b.report('booting', 200)).length, 2);
     },
   ],
+  [
+    // A single task of a large job had begun, so it was passed over for four minutes.
+    'a large job goes first after a while unless half of what its team may run has begun',
+    (b) => {
+      b.machine('m', FRESH);
+      b.job(spec('job-0', { tasks: 3, rank: 1 }));
+      b.job(spec('job-1', { tasks: 40, rank: 3 }));
+      const [large, others] = [(c: Command) => c.ref === 'job-1', (c: Command) => c.ref !== 'job-1'];
+      const first = b.report('m', 0);
+      const live = first.filter(large).map((c) => shown(c, 'running'));
+      assert.equal(live.length, 1);
+      const over = (commands: Command[]): ReportedTask[] =>
+        commands.filter(others).map((c) => shown(c, 'exited', 'done'));
+      b.job(spec('job-2', { tasks: 20 }));
+      b.core.tick(2000, 100_000);
+      const early = b.report('m', 2000, [...live, ...over(first)]).filter((c) => c.op === 'start');
+      assert.equal(early.filter(others).length, 3, 'not yet');
+      b.core.tick(4000, 160_000);
+      const late = b.report('m', 4000, [...live, ...over(early)]).filter((c) => c.op === 'start');
+      assert.equal(late.filter(large).length, 3);
+    },
+  ],
   [
     // The store's list forgets machines that are gone: trusted after its return, it would hide tasks from a next owner.
     'a machine that left and came back is opened anew',
--- a/test/standin/clock.ts
+++ b/test/standin/clock.ts
@@ -43,16 +43,18 @@
     this.now = end;
   }
 
-  /** A process's clocks: they stop firing when the process has ended. */
-  clock(isUp: () => boolean, rate = 1): Clock {
+  /** A process's clocks: they stop firing when the process has ended, and wait while it stands still. */
+  clock(isUp: () => boolean, rate = 1, stillUntil: () => number = () => 0): Clock {
     const origin = this.now;
     return {
       steady: () => origin + (this.now - origin) * rate,
       today: () => new Date(1_790_000_000_000 + this.now),
       after: (ms, action) => {
-        const timer = this.at(this.now + ms / rate, () => {
-          if (isUp()) action();
-        });
+        const fire = (): void => {
+          if (this.now < stillUntil()) timer = this.at(stillUntil(), fire);
+          else if (isUp()) action();
+        };
+        let timer = this.at(this.now + ms / rate, fire);
         return () => this.cancel(timer);
       },
     };
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -18,6 +18,8 @@
   cut: boolean;
   /** Cut from the state service and the other controllers, but not from the workers. */
   apart: boolean;
+  /** Until when the process stands still while its clocks run on: what comes meanwhile is dealt with after. */
+  stillUntil: number;
 }
 
 interface UserJob {
@@ -118,7 +120,14 @@
     this.cloud = new StandinCloud(this.time, hooks, KINDS, ['a', 'b'], scale.capacity, 3000, 5000);
     for (let i = 0; i < 3; i++) this.cloud.open('small', i === 0 ? 'a' : 'b', false, 0);
     for (let i = 0; i < scale.nodes; i++) {
-      this.nodes.push({ controller: null, up: false, storeRefused: false, cut: false, apart: false });
+      this.nodes.push({
+        controller: null,
+        up: false,
+        storeRefused: false,
+        cut: false,
+        apart: false,
+        stillUntil: 0,
+      });
       this.boot(i);
     }
   }
@@ -141,13 +150,13 @@
     ): Promise<HttpAnswer | null> =>
       node.apart
         ? new Promise((resolve) => this.time.at(this.time.now + timeoutMs, () => resolve(null)))
-        : this.overNetwork(timeoutMs, isUp, () =>
+        : this.overNetwork(timeoutMs, node, isUp, () =>
             this.store.request(method, path, body, () => node.storeRefused || node.apart),
           );
     const controller = new Controller(
       parseSettings(settingsOf(i, this.scale)),
       DEFAULT_POLICY,
-      this.time.clock(isUp, 1 + (i - 1) * 0.0004),
+      this.time.clock(isUp, 1 + (i - 1) * 0.0004, () => node.stillUntil),
       pino({ level: 'silent' }),
       {
         store: { call },
@@ -155,18 +164,22 @@
         life: `velodrome-${i}-${++this.lives}`,
         cloud: {
           call: (method, path, body, timeoutMs) =>
-            this.overNetwork(timeoutMs, isUp, () => this.cloud.request(method, path, body)),
+            this.overNetwork(timeoutMs, node, isUp, () => this.cloud.request(method, path, body)),
         },
         toPeer: (member, bytes) => {
           const k = Number(member.split('-')[1]);
           this.time.at(this.time.now + 2, () => {
             const peer = this.nodes[k];
             if (!isUp() || !peer?.up || peer.apart || node.apart) return;
-            peer.controller?.fromPeer(bytes, (reply) =>
-              this.time.at(this.time.now + 2, () => {
-                if (isUp()) controller.fromPeer(reply, () => undefined);
-              }),
-            );
+            const hear = (): void =>
+              peer.controller?.fromPeer(bytes, (reply) =>
+                this.time.at(this.time.now + 2, () =>
+                  this.awake(node, () => {
+                    if (isUp()) controller.fromPeer(reply, () => undefined);
+                  }),
+                ),
+              );
+            this.awake(peer, hear);
           });
         },
       },
@@ -176,6 +189,12 @@
     controller.start();
   }
 
+  /** Does it now, or once the process goes on. */
+  private awake(node: Node, action: () => void): void {
+    if (this.time.now < node.stillUntil) this.time.at(node.stillUntil, action);
+    else action();
+  }
+
   crash(i: number, downMs: number): void {
     const node = this.nodes[i] as Node;
     if (!node.up) return;
@@ -187,17 +206,18 @@
   /** A request that takes a few milliseconds, now and then comes late, and may outlive its sender. */
   private overNetwork(
     timeoutMs: number,
+    node: Node,
     isUp: () => boolean,
     act: () => Promise<HttpAnswer>,
   ): Promise<HttpAnswer | null> {
     return new Promise((resolve) => {
       const late = this.pick(150) === 0;
       const delay = late ? 2000 + this.pick(6000) : 2 + this.pick(6);
-      this.time.at(this.time.now + timeoutMs, () => resolve(null));
+      const tell = (answer: HttpAnswer | null): void =>
+        this.awake(node, () => (isUp() ? resolve(answer) : undefined));
+      this.time.at(this.time.now + timeoutMs, () => tell(null));
       this.time.at(this.time.now + delay, () => {
-        void act().then((answer) =>
-          this.time.at(this.time.now + 2, () => (isUp() ? resolve(answer) : undefined)),
-        );
+        void act().then((answer) => this.time.at(this.time.now + 2, () => tell(answer)));
       });
     });
   }
@@ -207,10 +227,12 @@
       this.time.at(this.time.now + 4000, () => resolve(null));
       const node = this.nodes[i] as Node;
       const arrive = (): void =>
-        this.hear(i, worker, report, (answer) => {
-          // What reaches us from a machine need not mean that it hears us.
-          if (!worker.deaf) this.time.at(this.time.now + 2, () => resolve(answer));
-        });
+        this.awake(node, () =>
+          this.hear(i, worker, report, (answer) => {
+            // What reaches us from a machine need not mean that it hears us.
+            if (!worker.deaf) this.time.at(this.time.now + 2, () => resolve(answer));
+          }),
+        );
       if (!node.up) this.time.at(this.time.now + 5, () => resolve(null));
       else if (node.cut) this.time.at(this.time.now + 5000 + this.pick(15_000), arrive);
       else {
