--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -3,16 +3,10 @@
 import { type HttpAnswer } from '../transport/http-client';
 import { type Log } from '../transport/log';
 import { Pacer } from '../transport/pacer';
-import { type Book, type BookedPart } from '../storage/book';
+import { type Book } from '../storage/book';
 import { editFleet } from '../storage/fleets';
 import { Priority, type Ledger, type TxnResult } from '../storage/ledger';
-import {
-  encodeFleet,
-  keys,
-  type MachineRecord,
-  type MemberRecord,
-  type PartRecord,
-} from '../protocol/records';
+import { encodeFleet, keys, type MachineRecord, type MemberRecord } from '../protocol/records';
 import {
   listPath,
   parseCatalog,
@@ -26,12 +20,13 @@
 } from '../protocol/cloud';
 import { type MachineLoad, type PartLoad, type PeerMessage } from '../protocol/peers';
 import { type Policy } from '../protocol/policy';
-import { type Settings, type Team } from '../protocol/settings';
+import { type Settings } from '../protocol/settings';
 import { type Report } from '../protocol/workers';
 import { type Condition, type Write } from '../protocol/store';
 import { scale, type FleetMachine } from './autoscale';
 import { type Member } from './member';
-import { Reach, type Heard } from './reach';
+import { Assignment } from './assignment';
+import { type Heard } from './reach';
 import { type Truce } from './truce';
 
 type Message =
@@ -66,8 +61,6 @@
 const RETURN_AT_ONCE = 100;
 const RENT_AT_ONCE = 50;
 const ORDERS_A_ROUND = 3;
-/** A part's report costs so little that two controllers carry all; more parts only leave machines on the wrong side. */
-const MOST_PARTS = 2;
 const GATHER_RECORDS_MS = 60;
 /** Machines whose records share a value when they are first written. */
 const RECORDS_A_VALUE = 50;
@@ -76,37 +69,14 @@
 const SETTLING_SHARE = 0.25;
 const SETTLING_MS = 8000;
 const LOAD_FRESH_MS = 6000;
-/** Loads come twice a second: whom machines reach is judged by nothing older. */
-const LOAD_PROMPT_MS = 2500;
-/** The same part is not handed over again before the last time has shown. */
-const HAND_OVER_MS = 5000;
 const CLOUD_MS = 4000;
 const FLEET_LOG_MS = 10_000;
-/** A new leader waits this long for the others before it first shares out the parts. */
-const GATHER_MS = 1500;
-
-/** Splits the teams into at most `count` parts of about the same guaranteed size. */
-export function splitTeams(teams: readonly Team[], count: number): string[][] {
-  const parts: { teams: string[]; cpus: number }[] = [];
-  for (let i = 0; i < Math.min(count, teams.length); i++) parts.push({ teams: [], cpus: 0 });
-  const largestFirst = [...teams].sort(
-    (a, b) => b.guaranteed.cpus - a.guaranteed.cpus || (a.name < b.name ? -1 : 1),
-  );
-  for (const team of largestFirst) {
-    const smallest = parts.reduce((a, b) => (b.cpus < a.cpus ? b : a));
-    smallest.teams.push(team.name);
-    smallest.cpus += Math.max(1, team.guaranteed.cpus);
-  }
-  return parts.map((p) => p.teams);
-}
 
 /** The one controller that shares out parts and machines and speaks with the cloud. */
 export class Leader extends Actor<Message> {
   private leaderVersion = 0;
   private since = 0;
   private claiming = false;
-  private assigning = false;
-  private readonly reach = new Reach();
   private readonly loads = new Map<string, { load: PartLoad; at: number }>();
   private readonly seen = new Map<string, Seen>();
   private readonly gone = new Set<string>();
@@ -125,13 +95,13 @@
   private readonly returning = new Set<string>();
   private readonly soldOut = new Map<string, number>();
   private readonly rentsInFlight = new Map<string, number>();
-  private readonly handedOver = new Map<string, number>();
   private rentals = 0;
   private listedAt = Number.NEGATIVE_INFINITY;
   private listing = false;
   private toldFleetAt = Number.NEGATIVE_INFINITY;
   private catalogAt = Number.NEGATIVE_INFINITY;
   private readonly pacer: Pacer;
+  private readonly assignment: Assignment;
   types: ReadonlyMap<string, MachineType> = new Map();
 
   constructor(
@@ -143,10 +113,11 @@
     private readonly cloud: CloudTransport,
     private readonly clock: Clock,
     private readonly log: Log,
-    private readonly truce: Truce,
+    truce: Truce,
     private readonly sendTo: (member: string, message: PeerMessage) => void,
   ) {
     super((error) => log.error({ error }, 'leader failed'));
+    this.assignment = new Assignment(settings, member.name, ledger, book, log, truce, this.loads, sendTo);
     this.pacer = new Pacer(settings.cloudRate * 0.8, settings.cloudRate);
     book.events.subscribe((event) => {
       if (event.kind === 'gone') this.gone.add(event.id);
@@ -166,14 +137,14 @@
     switch (message.kind) {
       case 'changed':
         void this.claim();
-        if (this.leading) void this.assign(now);
+        if (this.leading) void this.assignment.assign(now, this.leaderVersion, this.since);
         return;
       case 'tick':
         void this.claim();
         // Nobody can take a submission without the machine types: at first, whoever starts asks for them.
         if (this.book.types.size === 0 && this.types.size === 0) this.refreshCatalog(now);
         if (!this.leading) return;
-        void this.assign(now);
+        void this.assignment.assign(now, this.leaderVersion, this.since);
         this.watchCloud(now);
         if (this.ended.size > 0) void this.forgetEnded();
         // What is rented must be recorded, or it would be rented again and again.
@@ -191,7 +162,7 @@
         return;
       }
       case 'heard':
-        this.reach.tell(message.member, message.heard, message.at);
+        this.assignment.reach.tell(message.member, message.heard, message.at);
         return;
       case 'unknown-machine':
         if (this.leading) this.meet(message.report);
@@ -233,113 +204,6 @@
     this.claiming = false;
   }
 
-  private async assign(now: number): Promise<void> {
-    if (this.assigning) return;
-    const { members } = this.book;
-    const peers = this.settings.peers.length + 1;
-    const parts = [...this.book.parts.values()];
-    if (parts.length === 0 && members.size < peers && now - this.since < GATHER_MS) return;
-    this.assigning = true;
-    // The leader counts as holding a little already, so that parts go to the others first.
-    const held = new Map([...members.keys()].map((m) => [m, m === this.member.name ? 0.5 : 0]));
-    // A part that its owner held in an earlier life is not held: it is given anew below, and counted then.
-    for (const { record } of parts)
-      if (members.get(record.owner) === record.incarnation)
-        held.set(record.owner, (held.get(record.owner) ?? 0) + 1);
-    const avoided = (m: string): number => Number(this.reach.avoided(m));
-    const least = (): string | undefined =>
-      [...held].sort(
-        (a, b) => avoided(a[0]) - avoided(b[0]) || a[1] - b[1] || (a[0] < b[0] ? -1 : 1),
-      )[0]?.[0];
-    try {
-      if (parts.length === 0) {
-        // One controller stays free of parts: it leads, and is the spare that takes over. Fewer, larger parts
-        // also leave less of the fleet idle on the wrong side.
-        const split = splitTeams(this.settings.teams, Math.max(1, Math.min(MOST_PARTS, peers - 1)));
-        for (const [i, teams] of split.entries()) {
-          const owner = least();
-          if (owner) await this.give(`p${i}`, teams, owner, members, 0, null);
-          if (owner) held.set(owner, (held.get(owner) ?? 0) + 1);
-        }
-        return;
-      }
-      for (const part of parts) {
-        const { owner, incarnation } = part.record;
-        if (members.get(owner) === incarnation) continue;
-        // The owner's grant has ended, or it has begun a new life and knows nothing of the old one's orders.
-        const next = members.has(owner) ? owner : least();
-        if (!next) continue;
-        const dead = members.has(owner) ? null : owner;
-        if (dead && !this.truce.mayTakeFrom(dead, now)) continue;
-        if (await this.give(part.id, part.record.teams, next, members, part.version, dead)) {
-          held.set(next, (held.get(next) ?? 0) + 1);
-        }
-      }
-      this.moveUnreached(parts, now);
-      this.balance(parts, held, now);
-    } finally {
-      this.assigning = false;
-    }
-  }
-
-  private async give(
-    part: string,
-    teams: string[],
-    owner: string,
-    members: ReadonlyMap<string, number>,
-    version: number,
-    dead: string | null,
-  ): Promise<boolean> {
-    const incarnation = members.get(owner) ?? 0;
-    const record: PartRecord = { teams, owner, incarnation };
-    const conditions = [
-      { key: keys.leader, version: this.leaderVersion },
-      { key: keys.part(part), version },
-      { key: keys.member(owner), version: incarnation },
-    ];
-    // Applied late, it must not hit an owner that has come back meanwhile.
-    if (dead) conditions.push({ key: keys.member(dead), version: 0 });
-    const result = await this.ledger.txn(
-      conditions,
-      [{ put: keys.part(part), value: record }],
-      Priority.Decision,
-    );
-    this.log.info({ part, owner, dead, result: result.kind }, 'part given');
-    return result.kind === 'applied';
-  }
-
-  /** Hands parts over whose machines reach other controllers and not their owner. */
-  private moveUnreached(parts: readonly BookedPart[], now: number): void {
-    const members = [...this.book.members.keys()];
-    for (const { id, record, version } of parts) {
-      const told = this.loads.get(id);
-      if (told?.load.version !== version || now - told.at > LOAD_PROMPT_MS) continue;
-      const to = this.reach.better(record.owner, told.load, this.settings.reportMs, members, now);
-      if (to === null) continue;
-      this.log.info({ part: id, owner: record.owner, to }, 'machines do not reach the owner');
-      this.handOver(id, record.owner, to, now);
-    }
-  }
-
-  private handOver(part: string, from: string, to: string, now: number): void {
-    if (now - (this.handedOver.get(part) ?? Number.NEGATIVE_INFINITY) < HAND_OVER_MS) return;
-    this.handedOver.set(part, now);
-    this.sendTo(from, { kind: 'handover', part, to });
-  }
-
-  /** A controller that holds nothing while another holds two parts or more gets one. */
-  private balance(parts: readonly BookedPart[], held: ReadonlyMap<string, number>, now: number): void {
-    const empty = [...held].find(([m, n]) => n < 1 && !this.reach.avoided(m))?.[0];
-    if (!empty) return;
-    const from = [...held].sort((a, b) => b[1] - a[1])[0];
-    if (!from || from[1] < 2) return;
-    const part = parts
-      .filter((p) => p.record.owner === from[0])
-      .sort((a, b) => (a.id < b.id ? -1 : 1))
-      .pop();
-    if (part) this.handOver(part.id, from[0], empty, now);
-  }
-
   // Machines.
 
   private seenOf(id: string, now: number): Seen {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -10,7 +10,8 @@
 import { PartPipelines } from './pipelines';
 import { allows, fits, zoneRoom, type Free } from './placement';
 import { Unresolved } from './unresolved';
-import { duesOf, effectiveRank, Estimates, missed, raised, starves } from './urgency';
+import { inTurn } from './queue';
+import { duesOf, Estimates } from './urgency';
 
 export interface PartOptions {
   reportMs: number;
@@ -23,10 +24,6 @@
 const FAULTY_AFTER = 3;
 /** A job that failed on this many machines and never succeeded is taken to be at fault itself. */
 const JOB_AT_FAULT = 3;
-const STEP_BACK = 4;
-const MOST_STEP_S = 90;
-/** Estimates err by half: a job is given up on for a due only if this share of it would be too long. */
-const SURELY_NEEDED = 0.6;
 const REORDER_MS = 1000;
 const IMAGE_PATIENCE_MS = 30_000;
 const ATTEMPTS_PER_INCARNATION = 1_000_000;
@@ -522,43 +519,14 @@
     this.queueStale = false;
     let cpus = 1;
     for (const m of this.machines.values()) cpus += this.capacity(m)?.cpus ?? 0;
-    const owed = this.withinGuarantee();
-    const turns = new Map<PartJob, { late: number; turn: number }>();
-    for (const job of this.jobs.values()) {
-      const { spec, dues, acceptedAt } = job;
-      const ageS = (this.today - acceptedAt) / 1000;
-      const expectedS = this.estimates.expect(spec);
-      const begun = job.begun(this.limits.get(spec.team)?.limit.cpus ?? 0);
-      const waited = { ageS, begun, withinGuarantee: owed.has(job) };
-      const rank = effectiveRank(spec, dues, ageS, expectedS * SURELY_NEEDED);
-      job.rank = raised(rank, waited, this.options.objectives);
-      const late = starves(waited) ? -1 : missed(dues, ageS, expectedS * SURELY_NEEDED);
-      // Arrival order, but a job steps back by a few times what it would take all our machines: one large job
-      // ahead of twenty small ones makes twenty users wait for one. The step is bounded, so none starves.
-      const step = (STEP_BACK * spec.tasks * spec.cpus * expectedS) / cpus;
-      turns.set(job, { late, turn: acceptedAt + 1000 * Math.min(step, MOST_STEP_S) });
-    }
-    const of = (job: PartJob): { late: number; turn: number } => turns.get(job) ?? { late: 0, turn: 0 };
-    this.queue = [...this.jobs.values()].sort(
-      (a, b) =>
-        a.rank - b.rank || of(a).late - of(b).late || of(a).turn - of(b).turn || (a.ref < b.ref ? -1 : 1),
-    );
+    const { estimates, limits, today } = this;
+    this.queue = inTurn([...this.jobs.values()], {
+      ...{ cpus, estimates, limits, today },
+      objectives: this.options.objectives,
+    });
     return this.queue;
   }
 
-  /** Jobs that fit into their team's guarantee together with the team's earlier unfinished ones. */
-  private withinGuarantee(): Set<PartJob> {
-    const within = new Set<PartJob>();
-    const taken = new Map<string, number>();
-    for (const job of [...this.jobs.values()].sort((a, b) => a.acceptedAt - b.acceptedAt)) {
-      const { team, tasks, cpus } = job.spec;
-      const sum = (taken.get(team) ?? 0) + (tasks - job.done) * cpus;
-      taken.set(team, sum);
-      if (sum <= (this.limits.get(team)?.guaranteed.cpus ?? 0)) within.add(job);
-    }
-    return within;
-  }
-
   /**
    * Cheap machines first, then the fullest, as far as what waits needs them: what is dear or nearly empty comes free
    * to be given back. The others are passed over until more waits.
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -4,7 +4,7 @@
 import { Pacer } from '../src/transport/pacer';
 import { NewestFirst } from '../src/transport/turns';
 import { scale, type FleetMachine, type FleetPicture } from '../src/coordination/autoscale';
-import { splitTeams } from '../src/coordination/leader';
+import { splitTeams } from '../src/coordination/assignment';
 import { fits, impossible, zoneRoom } from '../src/coordination/placement';
 import {
   failJob,
