No tug of war over machines, large changes are not overtaken; a job hardly begun goes up after 210 s

Who is short of room for more urgent work lends nothing, what was moved stays 6 s, nothing overtakes a change for over 0.3 s.

--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -16,6 +16,8 @@
   /** Has not reported to its part's owner yet. */
   booting: boolean;
   failed: boolean;
+  /** Time since this leader last had it moved, Infinity: never. */
+  movedMs: number;
 }
 
 export interface FleetPicture {
@@ -51,6 +53,8 @@
 /** What a move costs: the worker is sent on, and shows the new owner that it hears it. */
 const MOVE_S = 6;
 const SETTLE_MS = 3000;
+/** A machine that was moved is not moved again before both parts have told what came of it. */
+const STAYS_MS = 6000;
 const LATE_BOOT = 1.7;
 /** A machine is charged for this long at least (PROTOCOL, "Controller nodes -> cloud"). */
 const LEAST_CHARGED_MS = 60_000;
@@ -159,7 +163,7 @@
   part: string;
   /** Seconds until it can take tasks where it is. */
   readyInS: number;
-  /** It may have got something to do since its part's owner last told: not to be taken away yet. */
+  /** It may have got something to do since its part's owner last told, or it has just been moved: it stays for now. */
   settling: boolean;
 }
 
@@ -173,7 +177,7 @@
       continue;
     const leftS = m.booting ? Math.max(0, type.bootS - m.ageMs / 1000) : 0;
     const free = { cpus: type.cpus, accelerators: type.accelerators, memoryGb: type.memoryGb };
-    const settling = !m.booting && (state?.idleMs ?? 0) < SETTLE_MS;
+    const settling = (!m.booting && (state?.idleMs ?? 0) < SETTLE_MS) || m.movedMs < STAYS_MS;
     pool.push({ id: m.id, part: m.part, free, type, zone: m.zone, spot: m.spot, readyInS: leftS, settling });
   }
   return pool;
@@ -343,11 +347,15 @@
     if (taker) cpus.set(taker, (cpus.get(taker) ?? 0) + (picture.types.get(m.type)?.cpus ?? 0));
   }
   const taken = new Set(actions.map((a) => (a.kind === 'move' ? a.machine : '')));
+  for (const m of picture.machines) if (m.movedMs < STAYS_MS) taken.add(m.id);
   for (let rank = 0; rank < URGENCIES.length; rank++) {
     const at = (v: PartView): number => horizon(v, cpus.get(v) ?? 0, rank);
     const waiting = views.filter((v) => v.waits.some((w) => w.tasks > 0 && w.demand.rank === rank));
     const taker = waiting.sort((a, b) => at(b) - at(a))[0];
-    const donor = views.filter((v) => v !== taker).sort((a, b) => at(a) - at(b))[0];
+    // Who has more urgent work without room lends nothing for less urgent work: while its machines went out for that,
+    // as many came back for the other, twice a second, and the part ended up with nearly none.
+    const short = (v: PartView): boolean => v.waits.some((w) => w.tasks > 0 && w.demand.rank < rank);
+    const donor = views.filter((v) => v !== taker && !short(v)).sort((a, b) => at(a) - at(b))[0];
     if (!taker || !donor) continue;
     const unmet = taker.waits.filter((w) => w.tasks > 0 && w.demand.rank <= rank);
     let missing = unmet.reduce((sum, w) => sum + w.tasks * w.demand.cpus, 0);
--- a/src/coordination/job.ts
+++ b/src/coordination/job.ts
@@ -75,16 +75,13 @@
     return false;
   }
 
-  /**
-   * Whether half of what its team's limit allows at once has begun. A single task of hundreds is no beginning: a large
-   * job with one was passed over for four minutes.
-   */
-  begun(limitCpus: number): boolean {
+  /** How much of what its team's limit allows at once has begun. */
+  begun(limitCpus: number): number {
     const most = Math.min(
       this.spec.tasks,
       Math.max(1, Math.floor(limitCpus / Math.max(this.spec.cpus, 0.01))),
     );
-    return 2 * (this.done + this.out.size) >= most;
+    return (this.done + this.out.size) / most;
   }
 
   get finished(): boolean {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -47,6 +47,7 @@
   firstKnown: number;
   /** When it was rented, by a list that shows it as booting; else when this leader first heard of it. */
   bootsSince: number;
+  movedAt: number;
   firstListed: number | null;
   status: ListedMachine['status'] | null;
   reported: boolean;
@@ -209,7 +210,14 @@
   private seenOf(id: string, now: number): Seen {
     let seen = this.seen.get(id);
     if (!seen) {
-      seen = { firstKnown: now, bootsSince: now, firstListed: null, status: null, reported: false };
+      seen = {
+        firstKnown: now,
+        movedAt: Number.NEGATIVE_INFINITY,
+        bootsSince: now,
+        firstListed: null,
+        status: null,
+        reported: false,
+      };
       this.seen.set(id, seen);
     }
     return seen;
@@ -419,6 +427,7 @@
         ageMs: now - seen.bootsSince,
         booting: !seen.reported && (loadOf.get(id)?.silentMs ?? -1) < 0,
         failed: seen.status === 'failed',
+        movedMs: now - seen.movedAt,
       };
     });
     // Rentals that are not answered or recorded yet count as machines on their way.
@@ -426,7 +435,7 @@
       const [part, type, zone, spot] = JSON.parse(key) as [string, string, string, boolean];
       for (let i = 0; i < n; i++) {
         const base = { id: '', part, type, zone, spot, returning: false, ageMs: 0 };
-        machines.push({ ...base, booting: true, failed: false });
+        machines.push({ ...base, booting: true, failed: false, movedMs: Infinity });
       }
     }
     const actions = scale({
@@ -450,6 +459,7 @@
       } else if (action.kind === 'move') {
         const owner = owners.get(action.fromPart);
         const { machine, toPart, drain } = action;
+        if (toPart !== action.fromPart) this.seenOf(machine, now).movedAt = now;
         if (owner) this.sendTo(owner, { kind: 'move', machine, toPart, drain });
       } else {
         const owner = owners.get(action.part);
--- a/src/coordination/urgency.ts
+++ b/src/coordination/urgency.ts
@@ -40,13 +40,16 @@
 const RAISED_OWED = 2;
 /** A job of which nothing has begun for so long goes first, however large, late or idle it is. */
 export const BEGIN_WITHIN_S = 150;
+/** Nor is a single task of hundreds a beginning: a large job with one was passed over for four minutes. */
+const HALF_WITHIN_S = 210;
 /** Work within its team's guarantee goes up once this share of the time in which it is to begin is over. */
 const GUARANTEE_SHARE = 0.3;
 const GUARANTEE_S = 60;
 
 export interface Waited {
   ageS: number;
-  begun: boolean;
+  /** How much of what its team's limit allows at once has begun. */
+  begun: number;
   /** It fits into its team's guarantee together with the team's earlier unfinished jobs. */
   withinGuarantee: boolean;
 }
@@ -60,7 +63,7 @@
 }
 
 export function starves({ ageS, begun }: Waited): boolean {
-  return !begun && ageS > BEGIN_WITHIN_S;
+  return begun === 0 ? ageS > BEGIN_WITHIN_S : begun < 0.5 && ageS > HALF_WITHIN_S;
 }
 
 const ENOUGH = 10;
--- a/src/storage/ledger.ts
+++ b/src/storage/ledger.ts
@@ -46,6 +46,7 @@
   priority: Priority;
   writes: number;
   deadline: number;
+  since: number;
   run: () => void;
   expire: () => void;
 }
@@ -67,6 +68,8 @@
 const WATCH_PAUSE_MS = 100;
 /** If somebody waits for a revision, only for this long. */
 const WATCH_HURRY_MS = 12;
+/** A change is overtaken by smaller ones for this long at most. */
+const OVERTAKEN_MS = 300;
 /** Of the requests that the state service allows, at most one in this many asks for the revision. */
 const QUESTION_SHARE = 4;
 
@@ -358,6 +361,7 @@
         priority,
         writes,
         deadline,
+        since: this.clock.steady(),
         run: () => resolve(true),
         expire: () => resolve(false),
       };
@@ -370,6 +374,9 @@
 
   private pump(): void {
     const now = this.clock.steady();
+    // A change of many values needs a nearly full bucket. Small ones that overtook it for ever kept machines from
+    // changing sides for as long as there was other work to write down.
+    let held = false;
     for (let i = 0; i < this.queue.length;) {
       const entry = this.queue[i] as Queued;
       if (now > entry.deadline) {
@@ -377,11 +384,13 @@
         entry.expire();
         continue;
       }
-      if (this.admit(entry, now)) {
+      const waits = held && entry.writes > 0 && entry.priority !== Priority.Grant;
+      if (!waits && this.admit(entry, now)) {
         this.queue.splice(i, 1);
         entry.run();
         continue;
       }
+      held ||= entry.priority === Priority.Decision && entry.writes > 0 && now - entry.since > OVERTAKEN_MS;
       i++;
     }
     if (this.queue.length > 0 && this.pumpTimer === null) {
