Answers lost: claims are led by, hand-overs and moves not taken back; deaf machines resolve

Read in the code, each shown by a test that fails without its guard: - a leader's claim carried out although its answer was lost left nobody leading for as long as that controller lived; - a hand-over whose answer was lost and whose next try was refused was taken back, while it could still be carried out; - a machine whose move was on its way was unlocked when the grant lapsed for a moment; - a machine whose reports arrive but that hears nothing of a new owner held up that part's begun jobs for ever, since each answer to it counted as a new lease. No answer was taken if newer reports carry none of our tokens. Tries of a change that the store refuses now pause between them.

--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -184,7 +184,14 @@
 
   private async claim(): Promise<void> {
     if (this.claiming || !this.member.alive() || !this.ledger.synced) return;
-    if (this.book.leader) return;
+    const known = this.book.leader;
+    if (known) {
+      // Our own claim, carried out although its answer was lost: without this nobody would lead for as long as we live.
+      // It was conditional on our present grant, so a newer record in our name can be no earlier life's.
+      const ours = known.member === this.member.name && known.version > this.member.incarnation;
+      if (ours && known.version !== this.leaderVersion) this.lead(known.version);
+      return;
+    }
     this.claiming = true;
     const record: MemberRecord = { member: this.member.name };
     const result = await this.ledger.txn(
@@ -196,15 +203,19 @@
       Priority.Decision,
     );
     if (result.kind === 'applied') {
-      this.leaderVersion = result.revision;
-      this.since = this.clock.steady();
-      this.seen.clear();
-      this.log.info({ version: result.revision }, 'leading');
+      this.lead(result.revision);
       await this.ledger.caughtUp(result.revision, 2000);
     }
     this.claiming = false;
   }
 
+  private lead(version: number): void {
+    this.leaderVersion = version;
+    this.since = this.clock.steady();
+    this.seen.clear();
+    this.log.info({ version }, 'leading');
+  }
+
   // Machines.
 
   private seenOf(id: string, now: number): Seen {
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -68,6 +68,8 @@
   hears = false;
   private probe = 0;
   private leaseFrom: number;
+  /** Since when nobody but us answers it. */
+  private readonly oursFrom: number;
   private readonly used: Free = { cpus: 0, accelerators: 0, memoryGb: 0 };
   private unknownTasks = 0;
 
@@ -80,6 +82,7 @@
     now: number,
   ) {
     this.leaseFrom = now;
+    this.oursFrom = now;
     this.idleSince = now;
   }
 
@@ -136,7 +139,20 @@
     if (this.probe < PROBES - 1) this.probe++;
   }
 
-  take(report: Report, partVersion: number, now: number): ReportOutcome {
+  /**
+   * A report newer than those we answered that carries none of our tokens: no answer of ours was taken. So once a lease has
+   * passed since the machine is ours, all that an earlier owner had started there is gone, although its reports keep coming.
+   */
+  private heardNobody(report: Report, partVersion: number, now: number, leaseMs: number): boolean {
+    const ours = Math.max(partVersion, this.version) * PROBES;
+    return report.token < ours && this.leaseOver(this.oursFrom, now, leaseMs);
+  }
+
+  private leaseOver(from: number, now: number, leaseMs: number): boolean {
+    return now - from > leaseMs * (1 + 2 * DRIFT) + 500;
+  }
+
+  take(report: Report, partVersion: number, now: number, leaseMs: number): ReportOutcome {
     const outcome: ReportOutcome = { exits: [], lost: [], strangers: [] };
     if (report.session > this.session) {
       // A new session begins with nothing: whatever was sent in earlier ones is gone.
@@ -156,6 +172,7 @@
       this.hears = true;
       this.resolved = true;
     }
+    if (this.heardNobody(report, partVersion, now, leaseMs)) this.resolved = true;
     this.exited.clear();
     // Exits first: a start refused as `busy` stands beside the live attempt that it met.
     for (const t of report.tasks) if (t.phase === 'exited') this.takeExit(t, outcome);
@@ -261,7 +278,7 @@
    * the machine as resolved.
    */
   expire(now: number, leaseMs: number): Presumed[] | null {
-    if (now - this.leaseFrom <= leaseMs * (1 + 2 * DRIFT) + 500) return null;
+    if (!this.leaseOver(this.leaseFrom, now, leaseMs)) return null;
     const lost = [...this.presumed.values()];
     if (lost.length === 0 && this.resolved) return null;
     for (const task of lost) this.remove(task);
--- a/src/coordination/part-actor.ts
+++ b/src/coordination/part-actor.ts
@@ -59,6 +59,8 @@
 /** How many ends are told with one change at most, and how large their value may grow. */
 const FINALS_AT_ONCE = 30;
 const FINAL_BYTES = 1500;
+/** Between two tries of a change. */
+const RETRY_MS = 150;
 
 /** The thin actor around a part: reports and changes in, commands and writes out. */
 export class PartActor extends Actor<PartMessage> {
@@ -196,7 +198,7 @@
     const result = await this.ledger.txn(conditions, [{ put: key, value }], Priority.Decision);
     // Whatever stood in the way, and our own write too, comes by the watch; the next try starts from there.
     if (result.kind === 'applied') await this.ledger.caughtUp(result.revision, 2000);
-    else await new Promise<void>((resolve) => this.clock.after(150, resolve));
+    else await this.pause(RETRY_MS);
     this.finishing = false;
     if (this.core.finals.size > 0) void this.writeFinals();
   }
@@ -297,33 +299,45 @@
    */
   private async untilKnown(conditions: Condition[], writes: Write[]): Promise<void> {
     let unsure = false;
-    while (this.active) {
+    while (!this.released) {
+      // Without a grant for a moment: a try that is on its way may still be carried out, so nothing is unlocked.
+      if (!this.active) {
+        await this.pause(RETRY_MS);
+        continue;
+      }
       const result = await this.ledger.txn(conditions, writes, Priority.Decision);
       if (result.kind === 'refused' && !unsure) return;
       if (result.kind === 'applied' && (await this.ledger.caughtUp(result.revision, 2000))) return;
       if (result.kind === 'conflict' && (await this.ledger.fresh())) return;
       unsure ||= result.kind !== 'refused';
+      await this.pause(RETRY_MS);
     }
   }
 
-  /** Gives the part to another controller: we stop first, then say so. */
+  private pause(ms: number): Promise<void> {
+    return new Promise((resolve) => this.clock.after(ms, resolve));
+  }
+
+  /**
+   * Gives the part to another controller: we stop first, then say so. We go on only if no try can be carried out any more:
+   * one whose answer was lost may be, seconds later, while we would start tasks that the new owner knows nothing of.
+   */
   private async handOver(to: string, incarnation: number): Promise<void> {
     this.released = true;
     this.log.info({ part: this.core.id, to }, 'handing over');
     const next: PartRecord = { ...this.record, owner: to, incarnation };
     const conditions = [this.mine, { key: keys.member(to), version: incarnation }];
-    for (;;) {
+    for (let unsure = false; ;) {
       const put: Write = { put: keys.part(this.core.id), value: next };
       const result = await this.ledger.txn(conditions, [put], Priority.Decision);
-      if (result.kind === 'applied') return;
-      if (
-        result.kind === 'refused' ||
-        (result.kind === 'conflict' && !result.failed.includes(this.mine.key))
-      ) {
+      const gone = result.kind === 'conflict' && result.failed.includes(this.mine.key);
+      if (result.kind === 'applied' || gone) return;
+      if (result.kind === 'conflict' || (result.kind === 'refused' && !unsure)) {
         this.released = false;
         return;
       }
-      if (result.kind === 'conflict') return;
+      unsure ||= result.kind === 'unknown';
+      await this.pause(RETRY_MS);
     }
   }
 }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -336,7 +336,7 @@
     const wasResolved = machine.resolved;
     // What booted until now was not idle: counted from its rental it would be returned the moment it is up.
     if (machine.lastReport === null) machine.idleSince = now;
-    const outcome = machine.take(report, this.version, now);
+    const outcome = machine.take(report, this.version, now, this.options.leaseMs);
     for (const task of outcome.lost) {
       this.counters.lost++;
       this.giveBack(task);
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -16,6 +16,7 @@
 type Fault = (world: World) => void;
 
 interface Status {
+  leading: boolean;
   store: { requests: number; writes: number };
   parts: { reports: number; looks: number; started: number }[];
 }
@@ -88,6 +89,17 @@
     const worker = [...w.cloud.workers.values()][0];
     if (worker) worker.sick = true;
   },
+  'changes are carried out late': (w) => {
+    w.lateWrites = 3;
+    w.time.at(w.time.now + 10_000 + w.pick(10_000), () => (w.lateWrites = 0));
+  },
+  'users call off what runs while a machine hangs': (w) => {
+    const workers = [...w.cloud.workers.values()];
+    const worker = workers[w.pick(Math.max(1, workers.length))];
+    if (worker) worker.hung = true;
+    w.time.at(w.time.now + 3000 + w.pick(12_000), () => worker && (worker.hung = false));
+    w.cancelSome(2);
+  },
   'cloud down': (w) => {
     w.cloud.down = true;
     w.time.at(w.time.now + 15_000, () => (w.cloud.down = false));
@@ -253,6 +265,32 @@
   }
 });
 
+test('a claim whose answer is lost is led by all the same', async (t) => {
+  for (const seed of [1, 2, 3]) {
+    await t.test(`seed ${seed}`, async () => {
+      const world = new World(seed);
+      for (let n = 0; n < 12; n++) world.time.at(2500 + world.pick(60_000), () => world.submit(n));
+      world.time.at(20_000, () => {
+        world.lateWrites = 1;
+        world.crash(
+          world.nodes.findIndex((n) => (n.controller?.status() as Status).leading),
+          30_000,
+        );
+      });
+      world.time.at(26_000, () => (world.lateWrites = 0));
+      await world.run(49_000);
+      const leading = world.nodes.filter((n) => n.up && (n.controller?.status() as Status).leading);
+      assert.equal(leading.length, 1);
+      await world.run(200_000);
+      assert.deepEqual(world.broken, []);
+      assert.deepEqual(
+        world.jobs.filter((j) => j.final === null).map((j) => j.ref),
+        [],
+      );
+    });
+  }
+});
+
 /** Each guard taken away must break a rule on such a day, or the days above would prove nothing. */
 const sabotages: {
   name: string;
--- /dev/null
+++ b/test/part-actor.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import pino from 'pino';
+import { PartCore } from '../src/coordination/part';
+import { PartActor } from '../src/coordination/part-actor';
+import { type HttpAnswer } from '../src/transport/http-client';
+import { keys } from '../src/protocol/records';
+import { Book } from '../src/storage/book';
+import { Ledger } from '../src/storage/ledger';
+import { settle, VirtualTime } from './standin/clock';
+
+type Scripted = HttpAnswer | null;
+
+const VERSION = 100;
+const MACHINE = 'i-000001';
+const refused: Scripted = { status: 503, body: {} };
+const applied: Scripted = { status: 200, body: { ledger_rev: 120 } };
+const unanswered: Scripted = null;
+const conflict = (key: string): Scripted => ({ status: 409, body: { failed: [key], ledger_rev: 120 } });
+
+/** A part's actor whose changes of the store are answered as written; the last answer stands for all after it. */
+class Stage {
+  readonly time = new VirtualTime();
+  alive = true;
+  asked = 0;
+  readonly actor: PartActor;
+  readonly core: PartCore;
+  readonly ledger: Ledger;
+
+  constructor(answers: readonly Scripted[]) {
+    const clock = this.time.clock(() => true);
+    const log = pino({ level: 'silent' });
+    const call = (_method: string, path: string): Promise<Scripted> => {
+      if (path !== '/multi') return Promise.resolve({ status: 404, body: { ledger_rev: 130 } });
+      return Promise.resolve(answers[Math.min(this.asked++, answers.length - 1)] ?? null);
+    };
+    const rates = { requestRate: 1000, writeRate: 1000, controllers: 1 };
+    this.ledger = new Ledger({ call }, { call }, clock, log, rates);
+    this.ledger.synced = true;
+    this.ledger.revision = 140;
+    const book = new Book(this.ledger, log);
+    const record = { part: 'p0', phase: 'kept' as const, type: 'small', zone: 'a', spot: true };
+    const fleet = [{ type: 'small', zone: 'a', spot: true, phase: 'kept', ids: [MACHINE] }];
+    this.ledger.changes.next({ key: keys.fleet('p0', '1'), value: fleet, version: 110 });
+    this.core = new PartCore(
+      'p0',
+      VERSION,
+      [],
+      () => new Map(),
+      () => undefined,
+      {
+        ...{ reportMs: 2000, leaseMs: 12_000, valueBytes: 4096, objectives: [] },
+      },
+    );
+    this.core.putMachine(MACHINE, record, 110, 0);
+    this.actor = new PartActor(
+      this.core,
+      { teams: [], owner: 'a', incarnation: 7 },
+      this.ledger,
+      book,
+      clock,
+      log,
+      { alive: () => this.alive, mayRenewLeases: () => this.alive },
+      { valueBytes: 4096, txnOps: 12, writeRate: 1000, parts: 2, progressMs: 2000 },
+    );
+  }
+}
+
+// While a try may still be carried out, the part may be another's at any moment: to go on would start tasks that the new
+// owner knows nothing of.
+test('a hand-over that failed is taken back only if no try of it can be carried out any more', async (t) => {
+  const part = keys.part('p0');
+  const cases: [string, Scripted[], boolean][] = [
+    ['refused at once: we go on', [refused], true],
+    ['carried out: it is not ours', [applied], false],
+    ['the taker has a new life: we go on', [conflict(keys.member('b'))], true],
+    ['an answer was lost, then the store refuses: nobody knows', [unanswered, refused], false],
+    ['an answer was lost, and it was carried out', [unanswered, conflict(part)], false],
+    ['an answer was lost, and it can be no more', [unanswered, refused, conflict(keys.member('b'))], true],
+  ];
+  for (const [name, answers, goesOn] of cases) {
+    await t.test(name, async () => {
+      const stage = new Stage(answers);
+      stage.actor.tell({ kind: 'handover', to: 'b', incarnation: 9 });
+      await settle();
+      await stage.time.run(20_000);
+      assert.equal(stage.actor.active, goesOn);
+      assert.ok(stage.asked < 200, `${stage.asked} requests in 20 s`);
+    });
+  }
+});
+
+// A grant that lapses for a moment, as at the start of an outage, once let go of a machine whose move was on its way.
+test('a machine stays locked while its move may still be carried out', async (t) => {
+  const cases: [string, Scripted[], boolean][] = [
+    ['refused at once: it stays and is free again', [refused], false],
+    ['an answer was lost, our grant lapsed and came back', [unanswered, refused], true],
+    ['an answer was lost, and it can be no more', [unanswered, conflict(keys.fleet('p0', '1'))], false],
+  ];
+  for (const [name, answers, locked] of cases) {
+    await t.test(name, async () => {
+      const stage = new Stage(answers);
+      stage.actor.tell({ kind: 'move', machine: MACHINE, toPart: 'p1', drain: false });
+      stage.actor.tell({ kind: 'tick' });
+      // The move is tried once more with each tick of a real controller; one is enough here.
+      stage.time.at(1000, () => (stage.alive = false));
+      stage.time.at(4000, () => (stage.alive = true));
+      await settle();
+      await stage.time.run(20_000);
+      assert.equal(stage.core.machines.get(MACHINE)?.locked, locked);
+    });
+  }
+});
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -99,6 +99,34 @@
 }
 
 const cases: [string, (b: Bench) => void][] = [
+  [
+    // Its reports kept coming, each was answered, and each answer counted as a new lease: it never came to an end.
+    'a machine that hears nothing of a new owner holds up others for one lease at most',
+    (b) => {
+      b.machine('deaf', OLD);
+      b.machine('m', OLD);
+      b.job(spec('job-1'), OLD);
+      for (let now = 0; now <= 12_000; now += 2000) {
+        b.report('deaf', now, [], { token: 0 });
+        assert.deepEqual(starts(b.report('m', now + 100)), []);
+      }
+      assert.deepEqual(starts(b.report('deaf', 13_000, [], { token: 0 })), [], 'it gets nothing itself');
+      assert.equal(starts(b.report('m', 13_100)).length, 2);
+    },
+  ],
+  [
+    'one that took an answer meanwhile is waited for',
+    (b) => {
+      b.machine('m', OLD);
+      b.machine('late', OLD);
+      b.job(spec('job-1'), OLD);
+      b.report('late', 8000, [], { token: 0 });
+      b.core.tick(13_000, 0);
+      assert.deepEqual(starts(b.report('m', 13_100)), [], 'it may have taken the answer of 8 s');
+      b.core.tick(21_000, 0);
+      assert.equal(starts(b.report('m', 21_100)).length, 2);
+    },
+  ],
   [
     'tasks start in arrival order up to what fits',
     (b) => {
