Demands name the zones where tasks may start: together or apart, lost machines come back there

Read in the code, shown by test rows: what waits of a job whose tasks run together in one zone, or whose half is reached, was counted as covered by room elsewhere, and machines were rented where it may not go.

--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -2,7 +2,7 @@
 import { URGENCIES } from '../protocol/jobs';
 import { type Policy } from '../protocol/policy';
 import { LEAVES_FLEET, type Demand, type MachineLoad, type PartLoad } from '../protocol/peers';
-import { allows, fits, type Free } from './placement';
+import { allowsKind, fits, type Free } from './placement';
 
 export interface FleetMachine {
   id: string;
@@ -223,7 +223,11 @@
 
 /** Whether a machine of this kind can take a task of this demand at all. */
 function suits(demand: Demand, s: { type: MachineType; zone: string; spot: boolean }): boolean {
-  return allows(demand, { type: s.type.name, zone: s.zone, spot: s.spot }) && fits(s.type, demand) > 0;
+  return permits(demand, { type: s.type.name, zone: s.zone, spot: s.spot }) && fits(s.type, demand) > 0;
+}
+
+function permits(demand: Demand, kind: { type: string; zone: string; spot: boolean }): boolean {
+  return (demand.zones === null || demand.zones.includes(kind.zone)) && allowsKind(demand, kind);
 }
 
 /** Sets what waits against the room on machines that the part uses already. */
@@ -480,7 +484,7 @@
     for (const zone of type.zones) {
       for (const spot of [true, false]) {
         const order = { type: type.name, zone, spot, count: 1 };
-        if (!allows(demand, order) || picture.soldOut(order)) continue;
+        if (!permits(demand, order) || picture.soldOut(order)) continue;
         if (!spot && !ordinaryToo) continue;
         const cost = (spot ? type.spotPrice : type.price) / useful + (inZone.get(zone) ?? 0) * 1e-6;
         if (cost < bestCost) [best, bestCost] = [order, cost];
--- a/src/coordination/part-load.ts
+++ b/src/coordination/part-load.ts
@@ -2,7 +2,8 @@
 import { type Demand, type PartLoad } from '../protocol/peers';
 import { type Quantity } from '../protocol/settings';
 import { type PartCore } from './part';
-import { fits } from './placement';
+import { type PartJob } from './job';
+import { fits, openZones } from './placement';
 
 /** Of what a task was expected to take, the least that it is still expected to. */
 const LEAST_LEFT = 0.2;
@@ -43,6 +44,7 @@
 function demands(part: PartCore): Demand[] {
   const found = new Map<string, Demand>();
   const rooms = new Map<string, Quantity>();
+  const allZones = new Set([...part.types().values()].flatMap((t) => t.zones));
   for (const job of part.sorted()) {
     const { spec } = job;
     if (job.waiting === 0 || job.state !== 'open') continue;
@@ -54,19 +56,28 @@
     room.cpus -= tasks * spec.cpus;
     room.accelerators -= tasks * spec.accelerators;
     const seconds = part.estimates.expect(spec);
-    const { workload, cpus, accelerators, memoryGb, types, zone, spot, rank } = spec;
-    const key = JSON.stringify([workload, cpus, memoryGb, types, zone, spot]);
+    const { workload, cpus, accelerators, memoryGb, types, spot, rank } = spec;
+    const zones = openZones(spec, allZones, placed(job));
+    const key = JSON.stringify([workload, cpus, memoryGb, types, zones, spot]);
     const known = found.get(key);
     if (known) {
       known.seconds = (known.seconds * known.tasks + seconds * tasks) / (known.tasks + tasks);
       known.tasks += tasks;
     } else {
-      found.set(key, { workload, cpus, accelerators, memoryGb, types, zone, spot, rank, tasks, seconds });
+      found.set(key, { workload, cpus, accelerators, memoryGb, types, zones, spot, rank, tasks, seconds });
     }
   }
   return [...found.values()];
 }
 
+/** How many tasks of a job that must be together or apart are in each zone. */
+function placed({ spec, out }: PartJob): Map<string, number> {
+  const zones = new Map<string, number>();
+  if (!spec.together && !spec.apart) return zones;
+  for (const { record } of out.values()) zones.set(record.zone, (zones.get(record.zone) ?? 0) + 1);
+  return zones;
+}
+
 /** CPU seconds that the tasks now out still take, and when each machine has none any more. */
 function running(part: PartCore, now: number): { workLeft: number[]; emptyInS: Map<string, number> } {
   const emptyInS = new Map<string, number>();
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -72,7 +72,7 @@
     /** Version of the part's record: fences every earlier owner. */
     public readonly version: number,
     teams: readonly Team[],
-    private readonly types: () => ReadonlyMap<string, MachineType>,
+    readonly types: () => ReadonlyMap<string, MachineType>,
     /** What a job that is not open any more asked for; its tasks may still be on machines. */
     private readonly settled: (ref: string) => JobSpec | undefined,
     readonly options: PartOptions,
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -18,14 +18,24 @@
   return Math.max(0, n);
 }
 
+interface Kind {
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+/** Whether a type, bought in this way, is allowed, wherever it is. */
+export function allowsKind(job: { types: string[] | null; spot: boolean }, machine: Kind): boolean {
+  if (job.types && !job.types.includes(machine.type)) return false;
+  return job.spot || !machine.spot;
+}
+
 /** Whether a job allows a kind of machine at all. */
 export function allows(
   job: { types: string[] | null; zone: string | null; spot: boolean },
-  machine: { type: string; zone: string; spot: boolean },
+  machine: Kind,
 ): boolean {
-  if (job.types && !job.types.includes(machine.type)) return false;
-  if (job.zone !== null && job.zone !== machine.zone) return false;
-  return job.spot || !machine.spot;
+  return (job.zone === null || job.zone === machine.zone) && allowsKind(job, machine);
 }
 
 /** How many more tasks of a job a zone may take, given where its tasks are presumed to be now. */
@@ -37,6 +47,20 @@
   return Number.POSITIVE_INFINITY;
 }
 
+/**
+ * The zones in which more tasks of a job may start, given where they are presumed to be now; null: all. Room elsewhere is
+ * none for it, and machines rented there would leave it waiting for ever.
+ */
+export function openZones(
+  spec: JobSpec,
+  zones: Iterable<string>,
+  placed: ReadonlyMap<string, number>,
+): string[] | null {
+  if (spec.zone !== null) return [spec.zone];
+  if (placed.size === 0 || !(spec.together || spec.apart)) return null;
+  return [...zones].filter((zone) => zoneRoom(spec, zone, placed) > 0);
+}
+
 /** Why a job can never run, or null. */
 export function impossible(
   spec: JobSpec,
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -7,7 +7,8 @@
   accelerators: number;
   memoryGb: number;
   types: string[] | null;
-  zone: string | null;
+  /** Where a task of it may start now, null: anywhere. */
+  zones: string[] | null;
   spot: boolean;
   rank: number;
   /** How many tasks of this shape wait and may run within their team's limit. */
@@ -113,7 +114,7 @@
     accelerators: amount,
     memoryGb: amount,
     types: ['null', listOf(text)],
-    zone: ['null', text],
+    zones: ['null', listOf(text)],
   },
   ...{
     spot: 'boolean',
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -125,7 +125,7 @@
       accelerators: 0,
       memoryGb: 2,
       types: ['a'],
-      zone: null,
+      zones: ['z'],
       spot: true,
       rank: 1,
       tasks: 3,
--- a/test/cores.test.ts
+++ b/test/cores.test.ts
@@ -7,7 +7,7 @@
 import { scale, type FleetMachine, type FleetPicture } from '../src/coordination/autoscale';
 import { askEveryMs, unawareMs } from '../src/coordination/awareness';
 import { splitTeams } from '../src/coordination/assignment';
-import { fits, impossible, zoneRoom } from '../src/coordination/placement';
+import { fits, impossible, openZones, zoneRoom } from '../src/coordination/placement';
 import {
   failJob,
   mayBegin,
@@ -138,6 +138,28 @@
   for (const [name, change, placed, expected] of rooms) {
     await t.test(name, () => assert.equal(zoneRoom({ ...spec, ...change }, 'a', new Map(placed)), expected));
   }
+  // Machines rented where the job may not go left it waiting for ever once it had lost those where it may.
+  const zones: [string, Partial<JobSpec>, [string, number][], string[] | null][] = [
+    ['anywhere', {}, [['b', 9]], null],
+    ['bound to a zone', { zone: 'b' }, [], ['b']],
+    ['together, nothing placed yet', { together: true }, [], null],
+    ['together: where the others are', { together: true }, [['b', 1]], ['b']],
+    [
+      'apart: where there is room',
+      { apart: true },
+      [
+        ['a', 3],
+        ['b', 1],
+      ],
+      ['b'],
+    ],
+    ['apart: nowhere full yet', { apart: true }, [['a', 2]], ['a', 'b']],
+  ];
+  for (const [name, change, placed, expected] of zones) {
+    await t.test(`open zones: ${name}`, () =>
+      assert.deepEqual(openZones({ ...spec, ...change }, ['a', 'b'], new Map(placed)), expected),
+    );
+  }
   await t.test('never more than there is room for', () => {
     const amount = fc.double({ min: 0.01, max: 100, noNaN: true });
     fc.assert(
@@ -152,7 +174,16 @@
 
 function demand(change: Partial<Demand>): Demand {
   return {
-    ...{ workload: 'w', cpus: 1, accelerators: 0, memoryGb: 2, types: null, zone: null, spot: true, rank: 2 },
+    ...{
+      workload: 'w',
+      cpus: 1,
+      accelerators: 0,
+      memoryGb: 2,
+      types: null,
+      zones: null,
+      spot: true,
+      rank: 2,
+    },
     ...{ tasks: 10, seconds: 60, ...change },
   };
 }
@@ -216,6 +247,14 @@
       { loads: [part('p0', [demand({})], [])], soldOut: (k) => k.spot },
       (a) => a.length > 0 && a.every((x) => x.kind === 'rent' && !x.order.spot),
     ],
+    [
+      'room in a zone where the job may not go is none: one is rented where it may',
+      {
+        loads: [part('p0', [demand({ tasks: 2, zones: ['b'] })], [load('i-1')])],
+        machines: [machine('i-1', { zone: 'a' })],
+      },
+      (a) => a.length > 0 && a.every((x) => x.kind === 'rent' && x.order.zone === 'b'),
+    ],
     [
       'machines that are booting count',
       {
