Guests have no limit; whose fault a failure is told by who else fails where; refusals are logged

Read in the code: a job with a mistake filled a machine, and its failures alone had that machine sent back; now a job that succeeded nowhere blames no machine where others succeed, is tried with one task now and then, and nothing is rented for it.

--- a/src/coordination/autoscale.ts
+++ b/src/coordination/autoscale.ts
@@ -16,6 +16,8 @@
   /** Has not reported to its part's owner yet. */
   booting: boolean;
   failed: boolean;
+  /** For how long its part's owner has taken it to be at fault, 0: not now. */
+  faultyMs: number;
   /** Time since this leader last had it moved, Infinity: never. */
   movedMs: number;
 }
@@ -59,6 +61,8 @@
 /** A machine is charged for this long at least (PROTOCOL, "Controller nodes -> cloud"). */
 const LEAST_CHARGED_MS = 60_000;
 const SILENT_MS = 30_000;
+/** Whether machine or job is at fault shows elsewhere within this time; meanwhile it gets nothing. */
+const SURELY_FAULTY_MS = 8000;
 /** Ordinary machines cost more: they are rented once the work would take this many times as long as meant. */
 const ORDINARY_PATIENCE = 2;
 /** A part gives a machine away while another would need this many times as long for its work. */
@@ -151,7 +155,7 @@
 
 function broken(m: FleetMachine, load: MachineLoad | undefined, picture: FleetPicture): string | null {
   if (m.failed) return 'failed';
-  if (load?.faulty) return 'fails every task';
+  if (m.faultyMs > SURELY_FAULTY_MS) return 'fails every task';
   const bootMs = (picture.types.get(m.type)?.bootS ?? 60) * 1000;
   if (m.booting && m.ageMs > 3 * bootMs + 15_000) return 'never came up';
   if (load && load.silentMs > Math.max(SILENT_MS, picture.leaseMs + 5000)) return 'silent';
--- a/src/coordination/gateway.ts
+++ b/src/coordination/gateway.ts
@@ -78,7 +78,10 @@
     tell(res, JOB_REF.test(ref) ? await runs.cancel(ref) : { status: 404, body: { error: 'no such job' } });
   });
   app.post('/v2/runs', json, async (req: Request, res: Response) => {
-    tell(res, await runs.submit(req.body));
+    const answer = await runs.submit(req.body);
+    // Not retried by its user: an operator should find out why.
+    if (answer.status === 400 || answer.status === 422) log.info({ refused: answer.body }, 'job refused');
+    tell(res, answer);
   });
   app.get('/ready', (_req: Request, res: Response) => {
     res.status(parts.ready() ? 200 : 503).json({});
--- a/src/coordination/job.ts
+++ b/src/coordination/job.ts
@@ -2,6 +2,10 @@
 import { decodeRanges, encodeRanges, FIRST_MARK, type JobProgress, type JobState } from '../protocol/records';
 import { type MachineState } from './machine';
 
+/** A job that failed on this many machines and never succeeded is taken to be at fault itself. */
+const AT_FAULT_ON = 3;
+const LONGEST_PAUSE_MS = 30_000;
+
 enum TaskState {
   Waiting,
   Out,
@@ -22,6 +26,9 @@
   readonly failedOn = new Set<string>();
   private readonly notBefore = new Map<number, number>();
   private readonly errors = new Map<number, number>();
+  /** All of it pauses until then: it fails wherever it runs. */
+  private pausedUntil = 0;
+  private pauseMs = 1000;
   /** Tasks from here on may not be started yet: a later owner would take them to be nowhere. */
   mark: number;
   /** Tasks before this one wait until all machines have spoken: an earlier owner may have started them. */
@@ -75,6 +82,26 @@
     return false;
   }
 
+  /** Submitted with a mistake, as far as can be told: it failed on several machines and nothing of it was ever done. */
+  get atFault(): boolean {
+    return this.done === 0 && this.failedOn.size >= AT_FAULT_ON;
+  }
+
+  /**
+   * How many of its tasks may be out at once. One that is at fault is tried with a single task now and then, until its user
+   * calls it off: it holds no room, and crowds nobody out.
+   */
+  mostOut(now: number): number {
+    if (!this.atFault) return Number.POSITIVE_INFINITY;
+    return now < this.pausedUntil ? 0 : Math.max(0, 1 - this.out.size);
+  }
+
+  /** It failed once more though it is at fault: the next try is later. */
+  pause(now: number): void {
+    this.pausedUntil = now + this.pauseMs;
+    this.pauseMs = Math.min(LONGEST_PAUSE_MS, this.pauseMs * 2);
+  }
+
   /** How much of what its team's limit allows at once has begun. */
   begun(limitCpus: number): number {
     const most = Math.min(
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -51,6 +51,8 @@
   firstListed: number | null;
   status: ListedMachine['status'] | null;
   reported: boolean;
+  /** Since when its part's owner takes it to be at fault. */
+  faultySince: number | null;
 }
 
 const LIST_MS = 1500;
@@ -158,8 +160,12 @@
       case 'load': {
         this.newLoads = true;
         this.loads.set(message.load.part, { load: message.load, at: message.at });
-        for (const m of message.load.machines)
-          if (m.silentMs >= 0) this.seenOf(m.machine, now).reported = true;
+        for (const m of message.load.machines) {
+          if (m.silentMs < 0) continue;
+          const seen = this.seenOf(m.machine, now);
+          seen.reported = true;
+          seen.faultySince = m.faulty ? (seen.faultySince ?? now) : null;
+        }
         return;
       }
       case 'heard':
@@ -228,6 +234,7 @@
         firstListed: null,
         status: null,
         reported: false,
+        faultySince: null,
       };
       this.seen.set(id, seen);
     }
@@ -438,6 +445,7 @@
         ageMs: now - seen.bootsSince,
         booting: !seen.reported && (loadOf.get(id)?.silentMs ?? -1) < 0,
         failed: seen.status === 'failed',
+        faultyMs: seen.faultySince === null ? 0 : now - seen.faultySince,
         movedMs: now - seen.movedAt,
       };
     });
@@ -445,7 +453,7 @@
     for (const [key, n] of this.rentsInFlight) {
       const [part, type, zone, spot] = JSON.parse(key) as [string, string, string, boolean];
       for (let i = 0; i < n; i++) {
-        const base = { id: '', part, type, zone, spot, returning: false, ageMs: 0 };
+        const base = { id: '', part, type, zone, spot, returning: false, ageMs: 0, faultyMs: 0 };
         machines.push({ ...base, booting: true, failed: false, movedMs: Infinity });
       }
     }
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -56,8 +56,10 @@
   noticeUntil: number | null = null;
   lastReport: number | null = null;
   idleSince: number;
-  /** Failures in a row, without a success between them. */
-  failures = 0;
+  /** Tasks that failed here since the last one that was done, by job. */
+  readonly failing = new Map<string, number>();
+  /** Some task of some job was done here. */
+  proven = false;
   /** The part that gets the machine once it is empty. */
   leavingTo: string | null = null;
   /** The machine is being moved or returned: nothing new is planned on it. */
--- a/src/coordination/part-load.ts
+++ b/src/coordination/part-load.ts
@@ -12,8 +12,11 @@
 export function partLoad(part: PartCore, now: number): PartLoad {
   const { workLeft, emptyInS } = running(part, now);
   const backlog = URGENCIES.map(() => 0);
-  for (const { waiting, spec } of part.sorted())
+  for (const job of part.sorted()) {
+    const { spec } = job;
+    const waiting = Math.min(job.waiting, job.mostOut(now));
     backlog[spec.rank] = (backlog[spec.rank] ?? 0) + waiting * spec.cpus * part.estimates.expect(spec);
+  }
   return {
     part: part.id,
     version: part.version,
@@ -21,7 +24,7 @@
     workLeft,
     quietS: (now - part.lastArrival) / 1000,
     backlog,
-    demands: demands(part),
+    demands: demands(part, now),
     machines: [...part.machines.values()].map((m) => {
       const free = part.free(m) ?? { cpus: 0, accelerators: 0, memoryGb: 0 };
       return {
@@ -41,7 +44,7 @@
   };
 }
 
-function demands(part: PartCore): Demand[] {
+function demands(part: PartCore, now: number): Demand[] {
   const found = new Map<string, Demand>();
   const rooms = new Map<string, Quantity>();
   const allZones = new Set([...part.types().values()].flatMap((t) => t.zones));
@@ -51,7 +54,8 @@
     let room = rooms.get(spec.team);
     if (!room) rooms.set(spec.team, (room = part.room(spec.team)));
     const quota = fits({ ...room, memoryGb: Infinity }, { ...spec, memoryGb: 0 });
-    const tasks = Math.min(job.waiting, quota);
+    // Nothing is rented for what fails everywhere.
+    const tasks = Math.min(job.waiting, job.mostOut(now), quota);
     if (tasks === 0) continue;
     room.cpus -= tasks * spec.cpus;
     room.accelerators -= tasks * spec.accelerators;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -20,10 +20,8 @@
   objectives: readonly Objective[];
 }
 
-/** Failures in a row after which a machine is taken to be the one at fault. */
+/** Failures without a success between them after which a machine is taken to be the one at fault. */
 const FAULTY_AFTER = 3;
-/** A job that failed on this many machines and never succeeded is taken to be at fault itself. */
-const JOB_AT_FAULT = 3;
 const REORDER_MS = 1000;
 const IMAGE_PATIENCE_MS = 30_000;
 const ATTEMPTS_PER_INCARNATION = 1_000_000;
@@ -34,6 +32,10 @@
 
 const NOTHING: Quantity = { cpus: 0, accelerators: 0 };
 
+function left(limit: number, used: number, hidden: number): number {
+  return limit === Infinity ? Infinity : limit - used - hidden;
+}
+
 function addTo(sums: Map<string, Quantity>, spec: JobSpec, tasks: number): void {
   const sum = sums.get(spec.team) ?? { ...NOTHING };
   sum.cpus += tasks * spec.cpus;
@@ -293,7 +295,7 @@
     const settled = this.unresolved === 0;
     for (const job of this.sorted()) {
       if (job.state !== 'open' || job.finished) continue;
-      const waiting = job.waitingNow(settled);
+      const waiting = Math.min(job.waitingNow(settled), job.mostOut(now));
       const wants = job.held ? 0 : Math.min(waiting, Math.floor(room / Math.max(job.spec.cpus, 0.01)));
       room -= wants * job.spec.cpus;
       const mark = wants > 0 ? Math.max(job.mark, job.markFor(wants, settled)) : job.mark;
@@ -369,7 +371,8 @@
     }
     if (!job?.has(exit.index)) return;
     if (exit.reason === 'done') {
-      machine.failures = 0;
+      machine.failing.clear();
+      machine.proven = true;
       if (job.isDone(exit.index)) return;
       // If another attempt is out, it is stopped.
       if (!job.isWaiting(exit.index)) this.stopElsewhere(job, exit.index);
@@ -383,11 +386,11 @@
     if (exit.reason === 'error' || exit.reason === 'unknown') {
       this.counters.failed++;
       job.failedOn.add(machine.id);
-      const jobAtFault = job.done === 0 && job.failedOn.size >= JOB_AT_FAULT;
-      if (exit.reason === 'error' && !jobAtFault) machine.failures++;
+      if (exit.reason === 'error') machine.failing.set(job.ref, (machine.failing.get(job.ref) ?? 0) + 1);
       const errors = job.fails(exit.index);
       // Tried again elsewhere, with growing pauses: the job is not over until its user says so.
-      job.waits(exit.index, now + Math.min(30_000, (jobAtFault ? 1000 : 250) * 2 ** errors));
+      job.waits(exit.index, now + Math.min(30_000, 250 * 2 ** errors));
+      if (job.atFault) job.pause(now);
     } else if (exit.reason === 'no_room') {
       job.waits(exit.index, now + this.options.reportMs);
     }
@@ -472,7 +475,7 @@
       machine.locked ||
       machine.leavingTo !== null ||
       machine.noticeUntil !== null ||
-      machine.failures >= FAULTY_AFTER ||
+      this.isFaulty(machine) ||
       machine.lastReport === null ||
       now - machine.lastReport > this.options.reportMs * 1.5 + 1000
     );
@@ -488,9 +491,10 @@
     const limit = this.limits.get(team)?.limit ?? NOTHING;
     const used = this.used.get(team) ?? NOTHING;
     const hidden = this.hiddenOf(team);
+    // Without a limit nothing that may run unseen matters.
     return {
-      cpus: limit.cpus - used.cpus - hidden.cpus,
-      accelerators: limit.accelerators - used.accelerators - hidden.accelerators,
+      cpus: left(limit.cpus, used.cpus, hidden.cpus),
+      accelerators: left(limit.accelerators, used.accelerators, hidden.accelerators),
     };
   }
 
@@ -580,10 +584,13 @@
     const { spec } = job;
     let n = fits(free, spec);
     if (n === 0 || job.state !== 'open' || !allows(spec, machine.record)) return;
+    // It succeeded nowhere yet and fails here: another machine tells whose fault it is.
+    if (job.done === 0 && (machine.failing.get(job.ref) ?? 0) >= FAULTY_AFTER) return;
     const room = this.room(spec.team);
     n = Math.min(
       n,
       job.waitingNow(this.unresolved === 0),
+      job.mostOut(now),
       fits({ ...room, memoryGb: Infinity }, { ...spec, memoryGb: 0 }),
     );
     if (n > 0 && (spec.together || spec.apart))
@@ -617,8 +624,23 @@
 
   // What the leader and the operators are told.
 
+  /**
+   * Whether it is the machine that is at fault when tasks fail on it. A job that succeeds elsewhere and fails here says so,
+   * and so do several jobs that fail here. One that has succeeded nowhere yet says it only of a machine where nothing was
+   * ever done: jobs with a mistake fail everywhere, and once had good machines sent back by the dozen.
+   */
   isFaulty(machine: MachineState): boolean {
-    return machine.failures >= FAULTY_AFTER;
+    if (machine.failing.size === 0) return false;
+    let failures = 0;
+    let doubtful = 0;
+    for (const [ref, n] of machine.failing) {
+      const job = this.jobs.get(ref);
+      if (!job || job.atFault) continue;
+      if (job.done > 0) failures += n;
+      else if (!machine.proven) failures += n;
+      else doubtful++;
+    }
+    return failures >= FAULTY_AFTER || doubtful >= FAULTY_AFTER;
   }
 
   load(now: number): PartLoad {
--- a/src/main.ts
+++ b/src/main.ts
@@ -42,7 +42,8 @@
   // What gets here is a defect; the process goes on, for its part would stand still without it.
   process.on('uncaughtException', (error) => log.error({ error: error.stack }, 'uncaught'));
   process.on('unhandledRejection', (error) => log.error({ error: String(error) }, 'unhandled'));
-  log.info({ version: VERSION }, 'starting');
+  const teams = settings.teams.map((t) => `${t.name} ${t.guaranteed.cpus}/${t.limit.cpus}`).join(', ');
+  log.info({ version: VERSION, teams }, 'starting');
   serve(settings, policy, systemClock, log);
 }
 
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -84,6 +84,14 @@
   listLagMs: number;
 }
 
+/**
+ * A guest team comes with zeros alone: it is guaranteed nothing, and nothing limits it but what others leave unused. A
+ * team with a limit of CPUs and none of accelerators may have no accelerators.
+ */
+function limitOf(cpus: number, accelerators: number): Quantity {
+  return cpus === 0 ? { cpus: Infinity, accelerators: accelerators || Infinity } : { cpus, accelerators };
+}
+
 export class SettingsError extends Error {}
 
 /** Reads the platform's settings; unknown fields are ignored, the first bad one is named. */
@@ -110,7 +118,7 @@
     teams: s.facts.teams.map((t) => ({
       name: t.name,
       guaranteed: { cpus: t.cpus, accelerators: t.gpus },
-      limit: { cpus: t.cpus_max, accelerators: t.gpus_max },
+      limit: limitOf(t.cpus_max, t.gpus_max),
     })),
     objectives: s.facts.objectives.flatMap((o): Objective[] => {
       if (o.kind === 'guarantee' && o.within_s !== undefined)
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -8,7 +8,7 @@
 import { parseSubmission } from '../src/protocol/jobs';
 import { decodePeer, encodePeer, type PeerMessage } from '../src/protocol/peers';
 import { decodeRanges, encodeRanges } from '../src/protocol/records';
-import { parseSettings } from '../src/protocol/settings';
+import { parseSettings, type Quantity } from '../src/protocol/settings';
 import { parseWatch } from '../src/protocol/store';
 import { parseReport, reportAnswer } from '../src/protocol/workers';
 
@@ -229,6 +229,32 @@
   assert.throws(() => parseSettings('{'), { message: /^not JSON/ });
 });
 
+// Guests' jobs were refused with 422: their limit of 0 was taken for nothing allowed, where it says that there is none.
+test('settings: what limits a team', () => {
+  const cases: [object, Quantity][] = [
+    [
+      { cpus: 1, cpus_max: 2, gpus: 0, gpus_max: 1 },
+      { cpus: 2, accelerators: 1 },
+    ],
+    [
+      { cpus: 1, cpus_max: 2 },
+      { cpus: 2, accelerators: 0 },
+    ],
+    [
+      { cpus: 0, cpus_max: 0 },
+      { cpus: Infinity, accelerators: Infinity },
+    ],
+    [
+      { cpus: 0, cpus_max: 8 },
+      { cpus: 8, accelerators: 0 },
+    ],
+  ];
+  for (const [team, limit] of cases) {
+    const facts = { ...settings.facts, teams: [{ name: 't', ...team }] };
+    assert.deepEqual(parseSettings(JSON.stringify({ ...settings, facts })).teams[0]?.limit, limit);
+  }
+});
+
 test('the program answers for itself and refuses bad settings with code 2', () => {
   const folder = mkdtempSync(join(tmpdir(), 'heathbridge-'));
   const main = join(__dirname, '..', 'src', 'main.js');
