--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -31,6 +31,7 @@
 const MEASURES_AFTER_MS = 20_000;
 /** A store that has not answered for this long counts as out of reach. */
 const STORE_SILENT_MS = 1500;
+const PEER_SILENT_MS = 2500;
 /** Cancellations on one page of a promise. */
 const CANCELLED_A_PAGE = 500;
 /** A watch waits for a fraction of the time in which its news would matter. */
@@ -384,12 +385,20 @@
     void this.ledger.fresh();
   }
 
-  /** Able to take requests: unless the store is closed to us alone, then another controller does better. */
+  /**
+   * Able to take requests: unless the store is closed to us alone, then another controller does better. So it does if
+   * neither store nor any peer is heard: users whose connections stayed here once got no answer for as long as that took.
+   */
   ready(): boolean {
     if (!this.ledger.synced || this.types().size === 0) return false;
     if (this.ledger.answering(3000)) return true;
     const now = this.clock.steady();
-    return ![...this.peerStoreOk.values()].some((p) => p.ok && now - p.at < 2500);
+    const { peers } = this.settings;
+    const heard = peers
+      .map((p) => this.peerStoreOk.get(p.member))
+      .filter((p) => p !== undefined && now - p.at < PEER_SILENT_MS);
+    const alone = heard.length === 0 && peers.length > 0;
+    return !alone && !heard.some((p) => p?.ok);
   }
 
   status(): object {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -74,6 +74,7 @@
 const LOAD_FRESH_MS = 6000;
 const CLOUD_MS = 4000;
 const FLEET_LOG_MS = 10_000;
+const RETRY_MS = 150;
 
 /** The one controller that shares out parts and machines and speaks with the cloud. */
 export class Leader extends Actor<Message> {
@@ -403,21 +404,27 @@
       list.push([id, { record, version: null }]);
       byPart.set(record.part, list);
     }
-    const conditions: Condition[] = [{ key: keys.leader, version: this.leaderVersion }];
+    const version = this.leaderVersion;
+    const conditions: Condition[] = [{ key: keys.leader, version }];
     const writes: Write[] = [];
     for (const [part, list] of byPart) {
       for (let i = 0; i < list.length; i += RECORDS_A_VALUE) {
-        const key = keys.fleet(part, `${this.leaderVersion}-${++this.records}`);
+        const key = keys.fleet(part, `${version}-${++this.records}`);
         conditions.push({ key, version: 0 });
         writes.push({ put: key, value: encodeFleet(list.slice(i, i + RECORDS_A_VALUE)) });
       }
     }
     let result: TxnResult = { kind: 'refused' };
-    while (this.leading) {
-      result = await this.ledger.txn(conditions, writes, Priority.Decision);
-      if (result.kind === 'applied') await this.ledger.caughtUp(result.revision, 2000);
-      // A conflict: our own earlier try was applied, or we do not lead any more.
-      if (result.kind === 'applied' || (result.kind === 'conflict' && (await this.ledger.fresh()))) break;
+    // Until it is known what became of it, also while our grant lapses for a moment: a try whose answer was lost may still
+    // be carried out, and a machine recorded anew meanwhile would stand in two parts.
+    while (this.leaderVersion === version && this.book.leader?.version === version) {
+      if (this.member.alive()) {
+        result = await this.ledger.txn(conditions, writes, Priority.Decision);
+        if (result.kind === 'applied') await this.ledger.caughtUp(result.revision, 2000);
+        // A conflict: our own earlier try was applied, or we do not lead any more.
+        if (result.kind === 'applied' || (result.kind === 'conflict' && (await this.ledger.fresh()))) break;
+      }
+      await new Promise<void>((resolve) => this.clock.after(RETRY_MS, resolve));
     }
     for (const [id] of machines) this.recording.delete(id);
   }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -213,7 +213,7 @@
     this.hidden = null;
     this.pipelines.put(spec, 'open', version);
     this.walkPipeline(spec.ref);
-    if (job.finished) this.ended.set(spec.ref, 'done');
+    this.endIfDone(job);
     this.lastArrival = now;
     this.queueStale = true;
   }
@@ -292,12 +292,18 @@
     const jobs = new Map<string, JobProgress>();
     let marksRaised = false;
     let room = this.roomAhead(now);
+    const teams = new Map<string, number>();
     const settled = this.unresolved === 0;
     for (const job of this.sorted()) {
       if (job.state !== 'open' || job.finished) continue;
       const waiting = Math.min(job.waitingNow(settled), job.mostOut(now));
-      const wants = job.held ? 0 : Math.min(waiting, Math.floor(room / Math.max(job.spec.cpus, 0.01)));
+      const { team } = job.spec;
+      // What its team's limit holds back takes no room ahead: it once kept those behind from ever being marked.
+      const ofTeam = teams.get(team) ?? this.room(team).cpus + MARK_AHEAD * (this.used.get(team)?.cpus ?? 0);
+      const able = Math.floor(Math.min(room, ofTeam) / Math.max(job.spec.cpus, 0.01));
+      const wants = job.held ? 0 : Math.max(0, Math.min(waiting, able));
       room -= wants * job.spec.cpus;
+      teams.set(team, ofTeam - wants * job.spec.cpus);
       const mark = wants > 0 ? Math.max(job.mark, job.markFor(wants, settled)) : job.mark;
       if (mark > job.mark) marksRaised = true;
       else if (!job.hasProgress) continue;
@@ -378,7 +384,7 @@
       if (!job.isWaiting(exit.index)) this.stopElsewhere(job, exit.index);
       job.finishes(exit.index);
       this.counters.done++;
-      if (job.finished) this.ended.set(job.ref, 'done');
+      this.endIfDone(job);
       return;
     }
     if (!exit.presumed) return;
@@ -422,9 +428,18 @@
     // The same task may be presumed on another machine too, being stopped there.
     if (!job || machine?.tasks.has(taskKey(task.ref, task.index))) return;
     job.comesBack(task.index);
+    this.endIfDone(job);
     if (lost && task.phase === 'seen') this.lostTask(job);
   }
 
+  /**
+   * All tasks are done, and no other attempt of one is still being stopped: what is told as done leaves nothing on any
+   * machine, for the next owner counts nothing of it against the team.
+   */
+  private endIfDone(job: PartJob): void {
+    if (job.finished && job.out.size === 0) this.ended.set(job.ref, 'done');
+  }
+
   private reserve(spec: JobSpec, n: number): void {
     const used = this.used.get(spec.team);
     if (!used) return;
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -291,6 +291,100 @@
   }
 });
 
+function workersOf(w: World): World['cloud']['workers'] extends Map<string, infer T> ? T[] : never {
+  return [...w.cloud.workers.values()];
+}
+
+/** Sets something on about half of the machines, and takes it back after a while. */
+function halfOf(w: World, what: 'mute' | 'deaf' | 'hung', ms: number): void {
+  for (const worker of workersOf(w)) {
+    if (w.pick(2) === 0) continue;
+    worker[what] = true;
+    w.time.at(w.time.now + ms, () => (worker[what] = false));
+  }
+}
+
+function leaderOf(w: World): number {
+  return w.nodes.findIndex((n) => n.up && (n.controller?.status() as Status).leading);
+}
+
+/** Two troubles at once, as the operators met them; each day plays its meeting twice. */
+const meetings: Record<string, Fault> = {
+  'transactions carried out late while leaders change': (w) => {
+    w.lateWrites = 3;
+    for (const s of [0, 7, 14])
+      w.time.at(w.time.now + s * 1000, () => w.crash(Math.max(0, leaderOf(w)), 400));
+    w.time.at(w.time.now + 20_000, () => (w.lateWrites = 0));
+  },
+  'a leader cut from state service and peers, jobs cancelled through the new one': (w) => {
+    const node = w.nodes[Math.max(0, leaderOf(w))] as World['nodes'][number];
+    node.apart = true;
+    for (const s of [5, 9, 15]) w.time.at(w.time.now + s * 1000, () => w.cancelSome(2));
+    w.time.at(w.time.now + 30_000, () => (node.apart = false));
+  },
+  'all controllers away for longer than a lease': (w) =>
+    w.nodes.forEach((_, i) => w.crash(i, 14_000 + 50 * i)),
+  'leaders change ten times in two minutes, also inside an outage': (w) => {
+    for (let n = 0; n < 10; n++)
+      w.time.at(w.time.now + n * 4000, () => w.crash(Math.max(0, leaderOf(w)), 200 + w.pick(2500)));
+    w.time.at(w.time.now + 15_000, () => w.store.outage(15_000));
+  },
+  'machines that reach nobody while their jobs are called off': (w) => {
+    halfOf(w, 'mute', 20_000);
+    w.cancelSome(3);
+  },
+  'a leader ends while machines cannot be reached or hear nothing': (w) => {
+    halfOf(w, 'deaf', 17_000);
+    halfOf(w, 'hung', 8000);
+    w.crash(Math.max(0, leaderOf(w)), 3000);
+  },
+  'hand over and back, all end, one returns at once': (w) => {
+    cutFromWorkers(w, 6000);
+    w.time.at(w.time.now + 12_000, () => w.nodes.forEach((_, i) => w.crash(i, i === 1 ? 300 : 9000)));
+  },
+  'a team at its limit, machines that cannot be asked, a cancellation': (w) => {
+    halfOf(w, 'mute', 15_000);
+    w.nodes.forEach((_, i) => w.crash(i, 500 + 100 * i));
+    for (const s of [2, 4, 6]) w.time.at(w.time.now + s * 1000, () => w.cancelSome(2));
+  },
+  'a zone with workers and a controller cut off for longer than a lease': (w) => {
+    w.cutZone = 'a';
+    w.time.at(w.time.now + 6000, () => w.cancelSome(3));
+    w.time.at(w.time.now + 25_000, () => (w.cutZone = null));
+  },
+  'jobs bound to zones lose machines': (w) => {
+    for (const name of [...w.cloud.workers.keys()]) if (w.pick(3) === 0) w.cloud.take(name);
+  },
+  'cancellations, questions and repeats at the end of the last task': (w) => {
+    w.meetEnds = true;
+    w.time.at(w.time.now + 30_000, () => (w.meetEnds = false));
+  },
+  'odd requests, also in an outage and just after a start': (w) => {
+    w.oddRequests();
+    w.store.outage(8000);
+    w.time.at(w.time.now + 3000, () => w.oddRequests());
+    w.time.at(w.time.now + 10_000, () => w.nodes.forEach((_, i) => w.crash(i, 300)));
+    w.time.at(w.time.now + 11_000, () => w.oddRequests());
+  },
+};
+
+test('two troubles at once: no rule is broken, and all work is done', async (t) => {
+  for (const [name, meeting] of Object.entries(meetings)) {
+    for (const seed of [1, 2]) {
+      await t.test(`${name}, seed ${seed}`, async () => {
+        const world = new World(seed, { nodes: 3, capacity: 10, teams: 1, longerMs: 4000, bound: true });
+        world.calmFrom = 130_000;
+        for (let n = 0; n < 32; n++) world.time.at(2500 + world.pick(80_000), () => world.submit(n));
+        for (const at of [25_000, 75_000]) world.time.at(at, () => meeting(world));
+        await world.run(300_000);
+        assert.deepEqual(world.broken, []);
+        const open = world.jobs.filter((j) => j.final === null).map((j) => j.ref);
+        assert.deepEqual(open, [], 'unfinished jobs');
+      });
+    }
+  }
+});
+
 /** Each guard taken away must break a rule on such a day, or the days above would prove nothing. */
 const sabotages: {
   name: string;
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -44,7 +44,7 @@
     this.core = new PartCore(
       'p0',
       VERSION,
-      [team],
+      [team, { ...team, name: 'u' }],
       () => new Map([['small', type]]),
       (r) => this.known.get(r),
       options,
@@ -477,6 +477,37 @@
     },
     Infinity,
   ],
+  [
+    // Its tasks counted for nobody once the job was done, while one was still being stopped on a machine.
+    'a job is done once no other attempt of its tasks is left anywhere',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('n', FRESH);
+      b.job(spec('job-1', { tasks: 1 }));
+      const [first] = b.report('m', 0).filter((c) => c.op === 'start');
+      b.core.tick(13_000, 0);
+      const [second] = b.report('n', 13_000).filter((c) => c.op === 'start');
+      b.report('m', 13_100, [shown(first as Command, 'exited', 'done')]);
+      assert.equal(b.core.finals.size, 0);
+      const [stop] = b.report('n', 14_000, [shown(second as Command, 'running')]);
+      assert.equal(stop?.op, 'stop');
+      b.report('n', 16_000, [shown(second as Command, 'exited', 'stopped')]);
+      assert.deepEqual([...b.core.finals.keys()], ['job-1']);
+    },
+  ],
+  [
+    // Two tasks of a team with room waited for two minutes beside a free machine.
+    'marks are raised past a job that its team limit holds back',
+    (b) => {
+      b.machine('m', FRESH);
+      b.machine('n', FRESH);
+      b.job(spec('job-1', { tasks: 40 }), FRESH, '', 8);
+      b.report('m', 0);
+      b.job(spec('job-2', { tasks: 10, team: 'u' }), FRESH, '0-7', 8);
+      assert.equal(b.core.progress(0).jobs.get('job-2')?.mark, 10);
+    },
+    4,
+  ],
   [
     'a machine that is gone gives its tasks back',
     (b) => {
--- a/test/standin/fleet.ts
+++ b/test/standin/fleet.ts
@@ -39,6 +39,8 @@
   baton = 0;
   up = true;
   hung = false;
+  /** It reaches no controller. */
+  mute = false;
   /** Its reports arrive, but nothing that it is answered. */
   deaf = false;
   /** Every task fails. */
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -29,6 +29,9 @@
   cpus: number;
   loaners: boolean;
   together: boolean;
+  apart: boolean;
+  yard: string | null;
+  body: object;
   accepted: boolean;
   final: string | null;
   cancelledAt: number | null;
@@ -48,6 +51,8 @@
   teams: number;
   /** Tasks run so much longer than the few seconds that they take otherwise. */
   longerMs?: number;
+  /** Some jobs are bound to a zone, or must be apart. */
+  bound?: boolean;
 }
 
 const SMALL: Scale = { nodes: 3, capacity: 10, teams: 1 };
@@ -104,6 +109,10 @@
   leasesLost = 0;
   /** Of the changes asked of the state service, one in this many gets no answer and is carried out late; 0: none. */
   lateWrites = 0;
+  /** This zone and the first controller see each other and nobody else; state service and cloud are outside. */
+  cutZone: string | null = null;
+  /** Users cancel, ask and submit again at the very end of a job's last task. */
+  meetEnds = false;
   /** When all troubles are over. */
   calmFrom = Number.POSITIVE_INFINITY;
   private lives = 0;
@@ -116,7 +125,7 @@
     this.random = prand.xoroshiro128plus(seed);
     const hooks: FleetHooks = {
       began: (worker, piece) => this.began(worker, piece),
-      completed: (piece) => this.completed.add(piece),
+      completed: (piece) => this.hasCompleted(piece),
       expired: () => this.leasesLost++,
       runMs: (piece) =>
         (scale.longerMs ?? 0) + 2000 + ((piece.length * 7919 + Number(piece.split('/')[1]) * 104_729) % 9000),
@@ -162,7 +171,7 @@
       body: unknown,
       timeoutMs: number,
     ): Promise<HttpAnswer | null> =>
-      node.apart
+      node.apart || (this.cutZone !== null && i === 0)
         ? new Promise((resolve) => this.time.at(this.time.now + timeoutMs, () => resolve(null)))
         : path === '/multi' && this.lateWrites > 0 && this.pick(this.lateWrites) === 0
           ? this.carriedOutLate(timeoutMs, () => this.store.request(method, path, body, () => false))
@@ -186,7 +195,8 @@
           const k = Number(member.split('-')[1]);
           this.time.at(this.time.now + 2, () => {
             const peer = this.nodes[k];
-            if (!isUp() || !peer?.up || peer.apart || node.apart) return;
+            const cut = this.cutZone !== null && (i === 0 || k === 0);
+            if (!isUp() || !peer?.up || peer.apart || node.apart || cut) return;
             const hear = (): void =>
               peer.controller?.fromPeer(bytes, (reply) =>
                 this.time.at(this.time.now + 2, () =>
@@ -255,6 +265,8 @@
             if (!worker.deaf) this.time.at(this.time.now + 2, () => resolve(answer));
           }),
         );
+      const cut = this.cutZone !== null && (worker.yard === this.cutZone) !== (i === 0);
+      if (worker.mute || cut) return;
       if (!node.up) this.time.at(this.time.now + 5, () => resolve(null));
       else if (node.cut) this.time.at(this.time.now + 5000 + this.pick(15_000), arrive);
       else {
@@ -304,6 +316,13 @@
     const limit = teamsOf(this.scale).find((t) => t.name === job.crew)?.cpus_max ?? 0;
     if (used > limit) this.broken.push(`quota: ${job.crew} uses ${used} at ${this.time.now}`);
     if (!job.loaners && worker.loaners) this.broken.push(`wrong_place: ${piece} on a spot machine`);
+    if (job.yard !== null && worker.yard !== job.yard)
+      this.broken.push(`wrong_place: ${piece} out of its zone`);
+    const here = [...this.cloud.workers.values()]
+      .filter((w) => w.yard === worker.yard)
+      .reduce((n, w) => n + [...w.pieces.keys()].filter((p) => this.spec(p) === job && w.onIt(p)).length, 0);
+    if (job.apart && here > Math.ceil(job.pieces / 2))
+      this.broken.push(`wrong_place: ${here} of ${job.ref} in one zone`);
     if (job.together && yards.size > 1) this.broken.push(`wrong_place: ${piece} apart from its job`);
     if (job.cancelledAt !== null) this.startedCancelled++;
     this.checkCancelled();
@@ -346,6 +365,9 @@
       cpus: 1 + this.pick(2),
       loaners: this.pick(4) > 0,
       together: this.pick(3) === 0,
+      apart: false,
+      yard: null,
+      body: {},
       accepted: false,
       final: null,
       cancelledAt: null,
@@ -353,6 +375,10 @@
       asked: false,
       answeredAt: this.time.now,
     };
+    if (this.scale.bound && !job.together) {
+      job.apart = this.pick(2) === 0;
+      job.yard = job.apart || this.pick(2) === 0 ? null : 'a';
+    }
     this.jobs.push(job);
     const { ref, crew, pieces, cpus, loaners, together } = job;
     const body = {
@@ -371,10 +397,19 @@
         build: `img-${this.pick(2)}`,
         image_gb: 1,
         models: null,
-        yard: null,
+        yard: job.yard,
+      },
+      ...{
+        together,
+        apart: job.apart,
+        loaners,
+        expected_s: 6,
+        snapshot_every_s: 0,
+        snapshot_s: 0,
+        due_s: null,
       },
-      ...{ together, apart: false, loaners, expected_s: 6, snapshot_every_s: 0, snapshot_s: 0, due_s: null },
     };
+    job.body = body;
     const attempt = (): void => {
       void this.inTime(this.controller().runs.submit(body), 5000).then((answer) => {
         if (answer.status === 400 || answer.status === 422)
@@ -389,6 +424,49 @@
     attempt();
   }
 
+  private hasCompleted(piece: string): void {
+    this.completed.add(piece);
+    const job = this.spec(piece);
+    if (!this.meetEnds || !job || job.final !== null) return;
+    for (let i = 0; i < job.pieces; i++) if (!this.completed.has(`${job.ref}/${i}`)) return;
+    // Nobody has heard of it yet but the machine. Whatever comes first counts, for all of them.
+    const soon = (): number => this.time.now + this.pick(2500);
+    this.time.at(soon(), () => this.cancel(job));
+    this.time.at(soon(), () => this.ask(job));
+    this.time.at(soon(), () => void this.again(job));
+  }
+
+  /** The same submission once more: the job's state, and never that it cannot be. */
+  private async again(job: UserJob): Promise<void> {
+    const answer = await this.inTime(this.controller().runs.submit(job.body), 5000);
+    if (answer.status === 400 || answer.status === 422 || answer.status === 201)
+      this.broken.push(`forgotten: ${job.ref} submitted again got ${answer.status}`);
+    if (answer.status === 200) this.told(job, (answer.body as { status: string }).status);
+  }
+
+  /** Users submit again, cancel what is done, ask about what nobody submitted, and send what cannot be taken. */
+  oddRequests(): void {
+    const wrong = (body: object, statuses: number[]): void =>
+      void this.inTime(this.controller().runs.submit(body), 5000).then(({ status }) => {
+        if (![...statuses, 429, 503].includes(status)) this.broken.push(`odd request got ${status}`);
+      });
+    for (const job of this.jobs.filter((j) => j.accepted)) {
+      void this.again(job);
+      if (job.final === 'done') this.cancel(job);
+    }
+    const some = this.jobs[0];
+    if (!some) return;
+    const strange = { ...some.body, ref: `job-9${this.time.now.toFixed(0)}` };
+    wrong({ ...strange, cpus: 5000 }, [422]);
+    wrong({ ...strange, models: ['nothing'] }, [422]);
+    wrong({ ...strange, crew: 'nobody' }, [422]);
+    for (const field of ['pieces', 'memory_gb', 'urgency', 'build', 'expected_s'])
+      wrong({ ...strange, [field]: undefined }, [400]);
+    void this.inTime(this.controller().runs.status(strange.ref), 5000).then(({ status }) => {
+      if (status === 200) this.broken.push(`invented: ${strange.ref}`);
+    });
+  }
+
   private controller(): Controller {
     const up = this.nodes.filter((n) => n.up && n.controller);
     // With all nodes down the user meets the next one to start.
@@ -405,6 +483,11 @@
   }
 
   private poll(job: UserJob): void {
+    this.ask(job);
+    if (this.time.now < 400_000) this.time.at(this.time.now + 1500, () => this.poll(job));
+  }
+
+  private ask(job: UserJob): void {
     void this.inTime(this.controller().runs.status(job.ref), 2000).then((answer) => {
       if (answer.status === 404) this.broken.push(`forgotten: ${job.ref} at ${this.time.now}`);
       if (answer.status === 200) job.answeredAt = this.time.now;
@@ -412,7 +495,6 @@
         this.broken.push(`forgotten: nothing is said of ${job.ref} at ${this.time.now}`);
       if (answer.status === 200) this.told(job, (answer.body as { status: string }).status);
     });
-    if (this.time.now < 400_000) this.time.at(this.time.now + 1500, () => this.poll(job));
   }
 
   private told(job: UserJob, status: string): void {
