--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -232,6 +232,20 @@
   return world;
 }
 
+/** An owner's watches get no answer for a minute while its grant is renewed; users call jobs off through all controllers. */
+async function stuckDay(seed: number): Promise<World> {
+  const world = new World(seed, { ...LONG_TASKS });
+  for (let n = 0; n < 16; n++) world.time.at(2500 + world.pick(20_000), () => world.submit(n));
+  world.time.at(40_000, () => {
+    const node = anOwner(world);
+    node.watchStuck = true;
+    world.time.at(world.time.now + 60_000, () => (node.watchStuck = false));
+  });
+  for (const at of [40_500, 42_000]) world.time.at(at, () => world.cancelSome(4));
+  await world.run(120_000);
+  return world;
+}
+
 const LONG_TASKS = { nodes: 3, capacity: 10, teams: 1, longerMs: 120_000 };
 
 /** Another controller than those that own parts ends, and is back before the outage or within it. */
@@ -400,6 +414,18 @@
     breaks: /ran_cancelled/,
     day: gapDay,
   },
+  {
+    name: 'an owner answers workers without knowing what was cancelled',
+    apply: () => {
+      const blind = function (this: Member): boolean {
+        return this.alive();
+      };
+      return patch(Member.prototype, 'mayRenewLeases', { value: blind });
+    },
+    trouble: () => undefined,
+    breaks: /ran_cancelled/,
+    day: stuckDay,
+  },
   {
     name: 'new work starts while machines taken over have not seen the new token',
     apply: () => patch(PartCore.prototype, 'unresolved', { get: () => 0 }),
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -18,6 +18,8 @@
   cut: boolean;
   /** Cut from the state service and the other controllers, but not from the workers. */
   apart: boolean;
+  /** Its watches get no answer, while all else works. */
+  watchStuck: boolean;
   /** Until when the process stands still while its clocks run on: what comes meanwhile is dealt with after. */
   stillUntil: number;
 }
@@ -144,6 +146,7 @@
         storeRefused: false,
         cut: false,
         apart: false,
+        watchStuck: false,
         stillUntil: 0,
       });
       this.boot(i);
@@ -171,7 +174,7 @@
       body: unknown,
       timeoutMs: number,
     ): Promise<HttpAnswer | null> =>
-      node.apart || (this.cutZone !== null && i === 0)
+      node.apart || (this.cutZone !== null && i === 0) || (node.watchStuck && path.startsWith('/watch'))
         ? new Promise((resolve) => this.time.at(this.time.now + timeoutMs, () => resolve(null)))
         : path === '/multi' && this.lateWrites > 0 && this.pick(this.lateWrites) === 0
           ? this.carriedOutLate(timeoutMs, () => this.store.request(method, path, body, () => false))
