--- a/src/storage/ledger.ts
+++ b/src/storage/ledger.ts
@@ -148,7 +148,8 @@
     }
     if (answer.status === 409) return { kind: 'conflict', failed: parseFailed(answer.body) ?? [] };
     if (answer.status === 400) {
-      this.log.error({ answer: answer.body }, 'state service calls a transaction malformed');
+      const values = writes.map((w) => ('put' in w ? [w.put, JSON.stringify(w.value).length] : [w.remove]));
+      this.log.error({ answer: answer.body, values }, 'state service calls a transaction malformed');
       return { kind: 'refused' };
     }
     return answer.status === 503 || answer.status === 429 ? { kind: 'refused' } : { kind: 'unknown' };
