--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -47,6 +47,9 @@
   }),
 });
 
+/** A value that fills its limit to the last byte was once refused as too large. */
+const VALUE_SPARE_BYTES = 64;
+
 export interface Team {
   name: string;
   guaranteed: Quantity;
@@ -136,7 +139,7 @@
     store: {
       requestRate: s.facts.state.rps,
       writeRate: s.facts.state.write_rps,
-      valueBytes: s.facts.state.value_kb * 1024,
+      valueBytes: s.facts.state.value_kb * 1024 - VALUE_SPARE_BYTES,
       txnOps: s.facts.state.txn_ops,
     },
     cloudRate: s.facts.cloud.rps,
