--- a/src/coordination/job.ts
+++ b/src/coordination/job.ts
@@ -2,8 +2,9 @@
 import { decodeRanges, encodeRanges, FIRST_MARK, type JobProgress, type JobState } from '../protocol/records';
 import { type MachineState } from './machine';
 
-/** A job that failed on this many machines and never succeeded is taken to be at fault itself. */
+/** A job that failed on this many machines, most of those it was on, and never succeeded is taken to be at fault itself. */
 const AT_FAULT_ON = 3;
+const AT_FAULT_SHARE = 0.8;
 const LONGEST_PAUSE_MS = 30_000;
 
 enum TaskState {
@@ -24,6 +25,8 @@
   /** Where tasks that are out are presumed to be. */
   readonly out = new Map<number, MachineState>();
   readonly failedOn = new Set<string>();
+  /** Machines that its tasks were started on, until the first one is done. */
+  private readonly triedOn = new Set<string>();
   private readonly notBefore = new Map<number, number>();
   private readonly errors = new Map<number, number>();
   /** All of it pauses until then: it fails wherever it runs. */
@@ -82,9 +85,13 @@
     return false;
   }
 
-  /** Submitted with a mistake, as far as can be told: it failed on several machines and nothing of it was ever done. */
+  /**
+   * Submitted with a mistake, as far as can be told: it failed nearly wherever it was started, and nothing of it was ever
+   * done. One whose long tasks run on in most places has merely met machines that fail.
+   */
   get atFault(): boolean {
-    return this.done === 0 && this.failedOn.size >= AT_FAULT_ON;
+    const { size } = this.failedOn;
+    return this.done === 0 && size >= AT_FAULT_ON && size >= AT_FAULT_SHARE * this.triedOn.size;
   }
 
   /**
@@ -142,6 +149,7 @@
     if (this.isWaiting(index)) this.leavesWaiting(index);
     this.tasks[index] = TaskState.Out;
     this.out.set(index, machine);
+    if (this.done === 0) this.triedOn.add(machine.id);
   }
 
   comesBack(index: number): void {
@@ -163,6 +171,7 @@
     if (this.isWaiting(index)) this.leavesWaiting(index);
     this.tasks[index] = TaskState.Done;
     this.done++;
+    this.triedOn.clear();
     this.notBefore.delete(index);
     this.errors.delete(index);
   }
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -466,6 +466,25 @@
       assert.ok(tries >= 2 && tries < 10, `${tries} tries in a minute`);
     },
   ],
+  [
+    // Long tasks of a job that ran everywhere else waited one by one behind three machines that failed.
+    'a job that fails on a few machines and runs on most is not at fault',
+    (b) => {
+      b.job(spec('job-1', { tasks: 40 }));
+      const all = ['m', 'n', 'o', 'p', 'q', 'r', 's'];
+      for (const id of all) b.machine(id, FRESH);
+      const begun = new Map(all.map((id) => [id, b.report(id, 0).filter((c) => c.op === 'start')]));
+      for (const id of ['m', 'n', 'o'])
+        b.report(
+          id,
+          1000,
+          (begun.get(id) ?? []).map((c) => shown(c, 'exited', 'error')),
+        );
+      b.machine('t', FRESH);
+      assert.equal(starts(b.report('t', 1500)).length, 4);
+    },
+    100,
+  ],
   [
     'a guest team without a limit borrows what is free, also while machines are silent',
     (b) => {
