--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -32,6 +32,8 @@
 /** A store that has not answered for this long counts as out of reach. */
 const STORE_SILENT_MS = 1500;
 const PEER_SILENT_MS = 2500;
+/** The store keeps so many changes for its watches: a peer's replica that claims to be further ahead is none of it. */
+const MOST_AHEAD = 10_000;
 /** Cancellations on one page of a promise. */
 const CANCELLED_A_PAGE = 500;
 /** A watch waits for a fraction of the time in which its news would matter. */
@@ -301,7 +303,8 @@
       const storeOk = this.ledger.answering(STORE_SILENT_MS);
       const seen = this.book.members.get(member) === incarnation;
       // Without a whole picture of the store we cannot say what an earlier life of ours confirmed.
-      const knows = seen && this.ledger.synced;
+      const possible = message.revision <= this.ledger.revision + MOST_AHEAD;
+      const knows = seen && this.ledger.synced && possible;
       const promised = this.truce.promise(member, knows, storeOk, this.clock.steady());
       const pong = { kind: 'pong' as const, member: this.settings.member, seq, storeOk, promised };
       // An asker that is ahead of our replica still needs what we confirmed and do not see yet.
--- a/src/coordination/runs.ts
+++ b/src/coordination/runs.ts
@@ -28,6 +28,8 @@
 const unknownJob: UserAnswer = { status: 404, body: { error: 'no such job' } };
 const DURABLE_MS = 3000;
 const CANCEL_TRIES = 6;
+/** Questions waiting for the store beyond this many are shed: their users would have given up before the answer. */
+const MAX_QUESTIONS = 400;
 /** Submissions waiting for the store beyond this many are shed: reports and decisions come first. */
 const MAX_PENDING = 300;
 
@@ -36,6 +38,7 @@
  * alive for it. An answer that is not final is given only once the replica is no older than the question.
  */
 export class Runs {
+  private questions = 0;
   readonly counters = { accepted: 0, cancelled: 0, shed: 0, unavailable: 0 };
 
   constructor(
@@ -108,7 +111,14 @@
   }
 
   private async tell(ref: string): Promise<UserAnswer> {
-    const job = await this.find(ref);
+    const known = this.book.jobs.get(ref);
+    if (known && isFinal(known)) return { status: 200, body: this.shown(known) };
+    if (this.questions >= MAX_QUESTIONS) {
+      this.counters.shed++;
+      return { status: 429, body: { error: 'overloaded' }, retryAfter: 2 };
+    }
+    this.questions++;
+    const job = await this.find(ref).finally(() => this.questions--);
     if (job === null) return this.failed('no answer yet');
     return job === 'absent' ? unknownJob : { status: 200, body: this.shown(job) };
   }
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -6,6 +6,7 @@
 import { PartCore } from '../src/coordination/part';
 import { Reach } from '../src/coordination/reach';
 import { Truce } from '../src/coordination/truce';
+import { decodePeer, encodePeer } from '../src/protocol/peers';
 import { type JobProgress } from '../src/protocol/records';
 import { Book } from '../src/storage/book';
 import { World } from './standin/world';
@@ -17,6 +18,7 @@
 
 interface Status {
   leading: boolean;
+  revision: number;
   store: { requests: number; writes: number };
   parts: { reports: number; looks: number; started: number }[];
 }
@@ -399,6 +401,40 @@
   }
 });
 
+test('a promise is given to what a peer can be, and to nothing else', async (t) => {
+  const world = new World(1);
+  for (let n = 0; n < 8; n++) world.time.at(2500 + 500 * n, () => world.submit(n));
+  world.time.at(20_000, () => world.store.outage(60_000));
+  await world.run(24_000);
+  const [asked, asker] = world.nodes.map((n) => n.controller);
+  const { revision } = asker?.status() as Status;
+  const incarnation = (asker as unknown as { member: Member }).member.incarnation;
+  const status = {
+    ...{ kind: 'status' as const, member: 'velodrome-1', seq: 1, storeOk: false, incarnation, parts: [] },
+    ...{ strays: [], heardMs: 0, revision },
+  };
+  const cases: [string, Buffer, boolean | null][] = [
+    ['a peer as it is', encodePeer(status), true],
+    ['the same once more', encodePeer(status), true],
+    ['a little ahead of us', encodePeer({ ...status, revision: revision + 20 }), true],
+    ['one that knows nothing yet', encodePeer({ ...status, revision: 0 }), true],
+    ['a revision from the future', encodePeer({ ...status, revision: revision + 1_000_000 }), false],
+    ['an earlier life of it', encodePeer({ ...status, incarnation: incarnation - 1 }), false],
+    ['one that nobody knows', encodePeer({ ...status, member: 'velodrome-9' }), false],
+    ['a frame cut short', encodePeer(status).subarray(0, 20), null],
+  ];
+  for (const [name, bytes, promised] of cases) {
+    await t.test(name, () => {
+      let answered: boolean | null = null;
+      asked?.fromPeer(bytes, (reply) => {
+        const pong = decodePeer(reply);
+        answered = pong?.kind === 'pong' && pong.promised;
+      });
+      assert.equal(answered, promised);
+    });
+  }
+});
+
 /** Each guard taken away must break a rule on such a day, or the days above would prove nothing. */
 const sabotages: {
   name: string;
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -209,7 +209,7 @@
   }
 });
 
-test('submissions beyond what can wait for the store are shed at once', async () => {
+test('submissions and questions beyond what can wait for the store are shed at once', async () => {
   const never = { call: () => new Promise<never>(() => undefined) };
   const clock = time.clock(() => true);
   const ledger = new Ledger(never, never, clock, log, { requestRate: 1e6, writeRate: 1e6, controllers: 1 });
@@ -220,6 +220,12 @@
   const answer = await runs.submit({ ...submission, ref: 'job-1000' });
   assert.equal(answer.status, 429);
   assert.ok((answer.retryAfter ?? 0) >= 1);
+  // Users ask many times as often on some days; what waits too long is answered after they have given up.
+  for (let n = 0; n < 400; n++) void runs.status(`job-${n}`);
+  const asked = await runs.status('job-1000');
+  assert.equal(asked.status, 429);
+  assert.ok((asked.retryAfter ?? 0) >= 1);
+  assert.equal(runs.counters.shed, 2);
 });
 
 /** Sends these pieces one after the other and gives back all that comes. */
