A machine is gone only if it stands nowhere once the replica is whole

Read in the code: values of machines are merged by several changes of one transaction, and a replica that is read anew meets them in the order of their keys; a machine in use would then have counted as gone for a moment and its tasks as lost.

--- a/src/storage/book.ts
+++ b/src/storage/book.ts
@@ -79,6 +79,8 @@
   private readonly progress = new Map<string, BookedProgress>();
   /** Machines that a part may have started tasks on, by key. */
   private readonly opened = new Map<string, readonly string[]>();
+  /** Machines that left the value in which they stood, until the replica is whole again. */
+  private readonly vanished = new Map<string, { key: string; part: string }>();
   private readonly fleets = new Map<string, Map<string, FleetEntry>>();
 
   constructor(
@@ -86,6 +88,7 @@
     private readonly log: Log,
   ) {
     ledger.changes.subscribe((change) => this.take(change));
+    ledger.batches.subscribe(() => this.tellVanished());
   }
 
   progressOf(ref: string): BookedProgress | null {
@@ -240,12 +243,22 @@
       // A value that was only written anew is no news of the machines in it.
       if (known?.version !== entry.version) this.events.next({ kind: 'machine', id, entry });
     }
-    for (const id of before?.keys() ?? []) {
-      // Moved machines may already stand in their new place.
-      if (now.has(id) || this.machines.get(id)?.key !== key) continue;
+    for (const id of before?.keys() ?? [])
+      if (!now.has(id) && this.machines.get(id)?.key === key) this.vanished.set(id, { key, part });
+  }
+
+  /**
+   * Machines are gone only if they stand nowhere once the replica is whole again. Values that become one are several
+   * changes, and a replica that is read anew meets them in the order of their keys: a machine that merely stands
+   * elsewhere now was taken for gone, and its tasks were started a second time.
+   */
+  private tellVanished(): void {
+    for (const [id, { key, part }] of this.vanished) {
+      if (this.machines.get(id)?.key !== key || this.fleets.get(key)?.has(id)) continue;
       this.machines.delete(id);
       this.events.next({ kind: 'gone', id, part });
     }
+    this.vanished.clear();
   }
 
   /** Nobody but we writes here, but one bad value must not end the process, nor pass unseen. */
--- a/test/book.test.ts
+++ b/test/book.test.ts
@@ -22,6 +22,7 @@
   readonly events: string[] = [];
   readonly complaints: string[] = [];
   private revision = 0;
+  private whole = true;
 
   constructor() {
     const never = { call: () => new Promise<never>(() => undefined) };
@@ -38,19 +39,33 @@
     });
   }
 
+  /** Changes that come together, as those of one transaction do. */
+  together(...changes: (() => void)[]): this {
+    this.whole = false;
+    for (const change of changes) change();
+    this.whole = true;
+    this.book.ledger.batches.next();
+    return this;
+  }
+
+  private settle(): this {
+    if (this.whole) this.book.ledger.batches.next();
+    return this;
+  }
+
   change(key: string, value: unknown, version = ++this.revision): this {
     this.revision = Math.max(this.revision, version);
     // The wire gives back what JSON keeps.
     const v = JSON.parse(JSON.stringify(value)) as unknown;
     this.book.ledger.entries.set(key, { key, value: v, version, lease: null });
     this.book.ledger.changes.next({ key, value: v, version });
-    return this;
+    return this.settle();
   }
 
   gone(key: string): this {
     this.book.ledger.entries.delete(key);
     this.book.ledger.changes.next({ key, deleted: true, version: ++this.revision });
-    return this;
+    return this.settle();
   }
 
   accept(name: string, jobs: JobSpec[], version?: number): this {
@@ -122,6 +137,24 @@
         assert.deepEqual([w.book.machines.get('i-1')?.version, w.book.machines.get('i-2')?.version], [1, 3]);
       },
     ],
+    [
+      'values that become one: nobody is gone, in whatever order they are read',
+      (w) => {
+        w.fleet('p0', 'x', ['i-1', 'i-2']).fleet('p0', 'y', ['i-3', 'i-4']);
+        w.events.length = 0;
+        const both = [...w.book.machines].map(
+          ([id, { record, version }]) => [id, { record, version }] as const,
+        );
+        w.together(
+          () => w.gone(keys.fleet('p0', 'y')),
+          () => w.change(keys.fleet('p0', 'x'), encodeFleet(both)),
+        );
+        assert.deepEqual(w.events, []);
+        assert.equal(w.book.machines.size, 4);
+        w.gone(keys.fleet('p0', 'x'));
+        assert.deepEqual(w.events, ['gone i-1', 'gone i-2', 'gone i-3', 'gone i-4']);
+      },
+    ],
     [
       'many machines move with two changes, and their values become one',
       (w) => {
