A replica filled from several pages is whole only at one revision; parts are taken from a whole one

Also a part was taken as soon as the grant was there, whole picture or not. The stand-in's store has pages now.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -154,8 +154,9 @@
     return this.leader.types.size > 0 ? this.leader.types : this.book.types;
   }
 
-  /** Makes the part actors those that the store says are ours. The replica is whole when this runs. */
+  /** Makes the part actors those that the store says are ours; from a whole picture of it alone. */
   private reconcile(): void {
+    if (!this.ledger.synced) return;
     for (const [id, part] of this.parts) {
       const booked = this.book.parts.get(id);
       if (booked?.version === part.core.version && this.isMine(booked)) continue;
--- a/src/storage/ledger.ts
+++ b/src/storage/ledger.ts
@@ -87,7 +87,11 @@
   readonly batches = new Subject<void>();
   readonly entries = new Map<string, Entry>();
   revision = 0;
+  /** Whether the replica is a picture of the store at one revision. While it is filled it is a mixture. */
   synced = false;
+  private filled = false;
+  /** The newest revision of the pages that it was filled from. */
+  private filledTo = 0;
   /** The replica surely holds all that was in the store at this moment of our steady clock. */
   knownTo = Number.NEGATIVE_INFINITY;
   private readonly requests: Pacer;
@@ -218,7 +222,7 @@
   /** Fills the replica and follows the changes for ever. */
   async follow(): Promise<void> {
     for (;;) {
-      if (!this.synced && !(await this.fill())) {
+      if (!this.filled && !(await this.fill())) {
         await this.pause(300);
         continue;
       }
@@ -234,16 +238,27 @@
         for (const change of watched.changes) this.apply(change);
         this.revision = Math.max(this.revision, watched.revision);
         this.knownTo = Math.max(this.knownTo, askedAt);
-        this.batches.next();
-        this.release();
+        this.whole();
         await this.betweenWatches(WATCH_PAUSE_MS - (this.clock.steady() - started));
       } else {
-        if (answer?.status === 410) this.synced = false;
+        if (answer?.status === 410) this.filled = this.synced = false;
         await this.pause(200);
       }
     }
   }
 
+  /**
+   * Pages are read one after the other, so later ones may show what came after the earlier ones were read: a part that was
+   * given to us meanwhile, without the machines opened and the marks raised before that. The picture is whole, and told
+   * as such, once the watch has brought all of it to the newest page's revision.
+   */
+  private whole(): void {
+    if (this.revision < this.filledTo) return;
+    this.synced = true;
+    this.batches.next();
+    this.release();
+  }
+
   /** Resolves once the replica holds everything up to `revision`. */
   caughtUp(revision: number, withinMs: number): Promise<boolean> {
     if (this.synced && this.revision >= revision) return Promise.resolve(true);
@@ -315,6 +330,7 @@
       if (!page) return false;
       // Later pages may be newer than the first; watching from the first page's revision repeats what differs.
       revision ??= page.revision;
+      this.filledTo = page.revision;
       for (const entry of page.entries) found.set(entry.key, entry);
       const last = page.entries[page.entries.length - 1];
       if (!page.more || !last) break;
@@ -326,9 +342,8 @@
     for (const entry of found.values()) this.apply(entry);
     this.revision = Math.max(this.revision, revision);
     this.knownTo = Math.max(this.knownTo, askedAt);
-    this.synced = true;
-    this.batches.next();
-    this.release();
+    this.filled = true;
+    this.whole();
     return true;
   }
 
--- a/test/standin/store.ts
+++ b/test/standin/store.ts
@@ -14,6 +14,9 @@
   stamp: number;
 }
 
+/** Keys on a page. */
+const PAGE = 7;
+
 /** Stands in for the state service: keys, transactions, grants, watches, outages. */
 export class StandinStore {
   private readonly keys = new Map<string, Stored>();
@@ -55,8 +58,11 @@
       const pairs = [...this.keys]
         .filter(([key]) => key.startsWith(prefix))
         .sort(([a], [b]) => (a < b ? -1 : 1));
-      const shown = pairs.map(([key, e]) => ({ path: key, v: e.v, stamp: e.stamp }));
-      return answer(200, { pairs: shown, truncated: false, ledger_rev: this.revision });
+      const from = url.searchParams.get('from') ?? '';
+      const after = pairs.filter(([key]) => key > from);
+      const shown = after.slice(0, PAGE).map(([key, e]) => ({ path: key, v: e.v, stamp: e.stamp }));
+      // Pages are short here, and what one shows may have changed by the next.
+      return answer(200, { pairs: shown, truncated: after.length > PAGE, ledger_rev: this.revision });
     }
     if (method === 'GET') {
       const key = url.pathname.slice('/store/'.length);
