A machine that comes back from another part is opened anew, whoever opened it before

It was given tasks, the next owner took it for empty, and what had been started on it was started again. The row of the test fails without the mending.

--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -152,8 +152,13 @@
     }
   }
 
-  /** Machines that could take tasks once the store knows that they may have some. */
+  /**
+   * Machines that could take tasks once the store knows that they may have some. Names of machines that are not here make
+   * room in the store's list, so they are forgotten here as well: one that had been here under an earlier owner came back
+   * from another part and was given tasks, though it was on the list no more, and the next owner took it for empty.
+   */
   unopened(): string[] {
+    for (const id of this.opened) if (!this.machines.has(id)) this.opened.delete(id);
     const found = [];
     for (const m of this.machines.values())
       if (!this.opened.has(m.id) && !m.locked && m.lastReport !== null) found.push(m.id);
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -58,6 +58,11 @@
     this.core.putMachine(id, row, version, 0);
   }
 
+  /** Opened by an earlier owner, and not here now. */
+  openedBefore(id: string): void {
+    this.opened.add(id);
+  }
+
   /** One that no owner of this part has opened. */
   unopened(id: string, version: number): void {
     const row: MachineRecord = { part: 'p0', phase: 'kept', type: 'small', zone: 'a', spot: true };
@@ -288,6 +293,21 @@
       assert.equal(late.filter(large).length, 3);
     },
   ],
+  [
+    'a machine of an earlier owner that comes back from another part is opened anew',
+    (b) => {
+      b.openedBefore('m');
+      b.unopened('n', FRESH);
+      b.report('n', 0);
+      assert.deepEqual(b.core.unopened(), ['n'], 'the list is written anew, without m');
+      b.unopened('m', FRESH + 1);
+      b.job(spec('job-1'));
+      assert.deepEqual(starts(b.report('m', 1000)), []);
+      assert.deepEqual(b.core.unopened(), ['n', 'm']);
+      b.core.open(['m']);
+      assert.equal(starts(b.report('m', 2000)).length, 2);
+    },
+  ],
   [
     // The store's list forgets machines that are gone: trusted after its return, it would hide tasks from a next owner.
     'a machine that left and came back is opened anew',
