--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -420,9 +420,9 @@
     while (this.leaderVersion === version && this.book.leader?.version === version) {
       if (this.member.alive()) {
         result = await this.ledger.txn(conditions, writes, Priority.Decision);
-        if (result.kind === 'applied') await this.ledger.caughtUp(result.revision, 2000);
-        // A conflict: our own earlier try was applied, or we do not lead any more.
-        if (result.kind === 'applied' || (result.kind === 'conflict' && (await this.ledger.fresh()))) break;
+        // A conflict: our own earlier try was applied, or we do not lead any more. Either way the replica must show it.
+        if (result.kind === 'applied' && (await this.ledger.caughtUp(result.revision, 2000))) break;
+        if (result.kind === 'conflict' && (await this.ledger.fresh())) break;
       }
       await new Promise<void>((resolve) => this.clock.after(RETRY_MS, resolve));
     }
