--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -307,13 +307,9 @@
   }
 });
 
-function workersOf(w: World): World['cloud']['workers'] extends Map<string, infer T> ? T[] : never {
-  return [...w.cloud.workers.values()];
-}
-
 /** Sets something on about half of the machines, and takes it back after a while. */
 function halfOf(w: World, what: 'mute' | 'deaf' | 'hung', ms: number): void {
-  for (const worker of workersOf(w)) {
+  for (const worker of w.cloud.workers.values()) {
     if (w.pick(2) === 0) continue;
     worker[what] = true;
     w.time.at(w.time.now + ms, () => (worker[what] = false));
