Test: the guard on answering workers is two guards now, both are taken away

The row 'a controller cut from the state service and peers goes on answering its workers' took away the grant's check alone.

--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -520,7 +520,14 @@
   },
   {
     name: 'a controller cut from the state service and peers goes on answering its workers',
-    apply: () => patch(Member.prototype, 'alive', { value: () => true }),
+    // The bound on what it may not know would stop it as well, so both are taken away.
+    apply: () => {
+      const restores = [
+        patch(Member.prototype, 'alive', { value: () => true }),
+        patch(Member.prototype, 'mayRenewLeases', { value: () => true }),
+      ];
+      return () => restores.forEach((restore) => restore());
+    },
     trouble: (w) => cutApart(w, 40_000),
     breaks: /ran_twice|quota|ran_cancelled/,
   },
