A recorder of processor time by cause, and what it shows of the untouched sources

tools/load runs real controllers on loopback against the repository's stand-ins, which now take any time source and any size of page.

--- a/test/standin/clock.ts
+++ b/test/standin/clock.ts
@@ -6,8 +6,17 @@
   action: () => void;
 }
 
+/** What the stand-ins need of time, virtual or real. */
+export interface StandinTime {
+  /** Milliseconds since the stand-ins began. */
+  readonly now: number;
+  /** Runs `action` at this moment; `cancel` takes it back. */
+  at(ms: number, action: () => void): unknown;
+  cancel(timer: unknown): void;
+}
+
 /** Virtual time: nothing waits, everything happens in the order of its time. */
-export class VirtualTime {
+export class VirtualTime implements StandinTime {
   now = 0;
   private order = 0;
   private timers: Timer[] = [];
@@ -25,8 +34,8 @@
     return timer;
   }
 
-  cancel(timer: Timer): void {
-    const i = this.timers.indexOf(timer);
+  cancel(timer: unknown): void {
+    const i = this.timers.indexOf(timer as Timer);
     if (i >= 0) this.timers.splice(i, 1);
   }
 
--- a/test/standin/fleet.ts
+++ b/test/standin/fleet.ts
@@ -1,5 +1,5 @@
 import type { HttpAnswer } from '../../src/transport/http-client';
-import type { VirtualTime } from './clock';
+import type { StandinTime } from './clock';
 
 export interface WireOrder {
   order: 'start' | 'kill' | 'reap';
@@ -13,7 +13,7 @@
   status: 'pulling' | 'running' | 'flushing' | 'ended';
   exit_reason?: string;
   saved?: boolean;
-  timer?: ReturnType<VirtualTime['at']>;
+  timer?: unknown;
 }
 
 export interface FleetHooks {
@@ -52,7 +52,7 @@
   private dueSoon = false;
 
   constructor(
-    private readonly time: VirtualTime,
+    private readonly time: StandinTime,
     private readonly hooks: FleetHooks,
     readonly name: string,
     readonly model: string,
@@ -193,8 +193,8 @@
   memory: number;
 }
 
-/** Machines on a page of the list. */
-const PAGE = 4;
+/** Machines on a page of the list unless said otherwise: what one page shows may have changed by the next. */
+const SHORT_PAGE = 4;
 
 /** Stands in for the cloud: rents, lists late, takes back. */
 export class StandinCloud {
@@ -207,13 +207,14 @@
   down = false;
 
   constructor(
-    private readonly time: VirtualTime,
+    private readonly time: StandinTime,
     private readonly hooks: FleetHooks,
     private readonly kinds: readonly Kind[],
     private readonly yards: readonly string[],
     private readonly capacity: number,
     private readonly lagMs: number,
     private readonly bootMs: number,
+    private readonly pageMachines = SHORT_PAGE,
   ) {}
 
   kind(label: string): Kind {
@@ -277,8 +278,8 @@
     const shown = this.lists.filter((l) => l.at <= this.time.now - this.lagMs).pop();
     const from = /from=([^&]*)/.exec(path)?.[1] ?? '';
     const after = (shown?.body.velodromes ?? []).filter((row) => row.ref > from);
-    // Pages are short here, and what one shows may have changed by the next.
-    return answer(200, { velodromes: after.slice(0, PAGE), truncated: after.length > PAGE });
+    const page = after.slice(0, this.pageMachines);
+    return answer(200, { velodromes: page, truncated: after.length > page.length });
   }
 
   private rent(
--- a/test/standin/store.ts
+++ b/test/standin/store.ts
@@ -1,5 +1,5 @@
 import type { HttpAnswer } from '../../src/transport/http-client';
-import type { VirtualTime } from './clock';
+import type { StandinTime } from './clock';
 
 interface Stored {
   v: unknown;
@@ -14,8 +14,8 @@
   stamp: number;
 }
 
-/** Keys on a page. */
-const PAGE = 7;
+/** Keys on a page unless said otherwise: pages are short, and what one shows may have changed by the next. */
+const SHORT_PAGE = 7;
 
 /** Stands in for the state service: keys, transactions, session leases, watches, outages. */
 export class StandinStore {
@@ -27,7 +27,10 @@
   private nextGrant = 1;
   private down = false;
 
-  constructor(private readonly time: VirtualTime) {
+  constructor(
+    private readonly time: StandinTime,
+    private readonly pageKeys = SHORT_PAGE,
+  ) {
     const sweep = (): void => {
       this.endGrants();
       time.at(time.now + 50, sweep);
@@ -60,9 +63,12 @@
         .sort(([a], [b]) => (a < b ? -1 : 1));
       const from = url.searchParams.get('from') ?? '';
       const after = pairs.filter(([key]) => key > from);
-      const shown = after.slice(0, PAGE).map(([key, e]) => ({ path: key, v: e.v, stamp: e.stamp }));
-      // Pages are short here, and what one shows may have changed by the next.
-      return answer(200, { pairs: shown, truncated: after.length > PAGE, ledger_rev: this.revision });
+      const shown = after.slice(0, this.pageKeys).map(([key, e]) => ({ path: key, v: e.v, stamp: e.stamp }));
+      return answer(200, {
+        pairs: shown,
+        truncated: after.length > this.pageKeys,
+        ledger_rev: this.revision,
+      });
     }
     if (method === 'GET') {
       const key = url.pathname.slice('/store/'.length);
--- /dev/null
+++ b/tools/load/attribution.ts
@@ -0,0 +1,87 @@
+import { type Profiler } from 'node:inspector';
+
+/** Why processor time was spent. The first pattern that a sample's stack matches, from the innermost frame out, names it. */
+const CAUSES: readonly { cause: string; frames: RegExp }[] = [
+  { cause: 'garbage collection', frames: /^\(garbage collector\)/ },
+  { cause: 'recorder', frames: /recorder\.js|node:inspector|inspector_async/ },
+  { cause: 'logging', frames: /\/pino\/|transport\/log\.js|sonic-boom/ },
+  { cause: 'start', frames: /cjs\/loader|bootstrap|run_main/ },
+  { cause: 'placement', frames: /(chooseMachines|sorted|schedulingOrder|fill) .*coordination/ },
+  { cause: 'progress', frames: /writeProgress|(changed|recorded|progress) .*(partition|progress|job)\.js/ },
+  { cause: 'load reports', frames: /partition-load\.js/ },
+  {
+    cause: 'reports',
+    frames: /report-server\.js|fair-queue\.js|workers\.js|(fastReports|answerReport) |onconnection/,
+  },
+  {
+    cause: "leader's planning",
+    frames: /(leader|fleet-[a-z]+|autoscale|machine-registry|cloud-client|assignment)\.js/,
+  },
+  { cause: 'partition tick', frames: /partition(-actor)?\.js|tick .*controller\.js/ },
+  { cause: 'frames between controllers', frames: /peer-link\.js|peers\.js|avsc|sendStatus|fromPeer/ },
+  {
+    cause: 'watch events and refill',
+    frames: /replica-view\.js|(apply|follow|fill|whole|release|caughtUp) .*ledger\.js/,
+  },
+  {
+    cause: 'submissions and questions',
+    frames: /\/express\/|gateway\.js|runs\.js|submission-batcher\.js|\/router\/|_http_server/,
+  },
+  {
+    cause: 'requests to the state service and the cloud',
+    frames: /ledger\.js|http-client\.js|_http_client|_http_agent|http-connection\.js/,
+  },
+  {
+    cause: 'sockets',
+    frames:
+      /node:net|stream_base_commons|node:internal\/streams|(writev|writeUtf8String|writeLatin1String|writeBuffer) $/,
+  },
+  { cause: 'event loop and timers', frames: /\(program\)|node:internal\/(timers|process)/ },
+];
+
+/** A report is a message of the partition: its stack also holds the partition's frames. */
+const REPORT_FRAME = /(report|take|answer|isNews|adopt|exited) .*(partition|machine)\.js/;
+const PLACEMENT = CAUSES.find((c) => c.cause === 'placement');
+
+type Node = Profiler.ProfileNode;
+
+function describe({ callFrame }: Node): string {
+  return `${callFrame.functionName} ${callFrame.url}`;
+}
+
+function causeOf(stack: readonly string[]): string {
+  if (stack.some((frame) => REPORT_FRAME.test(frame)))
+    return stack.some((frame) => PLACEMENT?.frames.test(frame)) ? 'placement' : 'reports';
+  for (const frame of stack) {
+    const found = CAUSES.find(({ frames }) => frames.test(frame));
+    if (found) return found.cause;
+  }
+  return 'other';
+}
+
+/** Milliseconds of processor time by cause, idle time left out; and the functions that took most by themselves. */
+export function attribute(profile: Profiler.Profile): {
+  causes: Map<string, number>;
+  hottest: [string, number][];
+} {
+  const nodes = new Map(profile.nodes.map((node) => [node.id, node]));
+  const parents = new Map<number, number>();
+  for (const node of profile.nodes) for (const child of node.children ?? []) parents.set(child, node.id);
+  const selfUs = new Map<number, number>();
+  for (const [i, id] of (profile.samples ?? []).entries())
+    selfUs.set(id, (selfUs.get(id) ?? 0) + (profile.timeDeltas?.[i + 1] ?? 0));
+  const causes = new Map<string, number>();
+  const functions = new Map<string, number>();
+  for (const [id, us] of selfUs) {
+    const stack: string[] = [];
+    for (let at: number | undefined = id; at !== undefined; at = parents.get(at))
+      stack.push(describe(nodes.get(at) as Node));
+    const own = stack[0] ?? '';
+    if (own.startsWith('(idle)')) continue;
+    const cause = causeOf(stack);
+    causes.set(cause, (causes.get(cause) ?? 0) + us / 1000);
+    functions.set(own, (functions.get(own) ?? 0) + us / 1000);
+  }
+  const byTime = (a: [string, number], b: [string, number]): number => b[1] - a[1];
+  return { causes: new Map([...causes].sort(byTime)), hottest: [...functions].sort(byTime) };
+}
--- /dev/null
+++ b/tools/load/recorder.ts
@@ -0,0 +1,77 @@
+/**
+ * Preloaded into a controller under load: records a processor profile, memory, garbage collections and delays of the event
+ * loop, and writes them when the process is told to end. Nothing of it is part of the service.
+ */
+import { writeFileSync } from 'node:fs';
+import { Session, type Profiler } from 'node:inspector';
+import { join } from 'node:path';
+import { monitorEventLoopDelay, PerformanceObserver } from 'node:perf_hooks';
+import { writeHeapSnapshot } from 'node:v8';
+
+const SAMPLING_INTERVAL_US = 1000;
+const SAMPLE_EVERY_MS = 500;
+const NS_PER_MS = 1_000_000;
+
+/** What a recorded controller leaves behind beside its profile. */
+export interface Recording {
+  cpuMs: number;
+  wallMs: number;
+  peakRssMb: number;
+  collections: { count: number; totalMs: number; longestMs: number };
+  loopDelayMs: { p50: number; p99: number; max: number };
+  memory: { rssMb: number; heapUsedMb: number; externalMb: number }[];
+}
+
+const folder = process.env['LOAD_FOLDER'] ?? '.';
+const name = process.env['LOAD_NAME'] ?? 'controller';
+const startedAt = performance.now();
+const session = new Session();
+session.connect();
+session.post('Profiler.enable');
+session.post('Profiler.setSamplingInterval', { interval: SAMPLING_INTERVAL_US });
+session.post('Profiler.start');
+
+const loopDelay = monitorEventLoopDelay({ resolution: 20 });
+loopDelay.enable();
+const collections = { count: 0, totalMs: 0, longestMs: 0 };
+new PerformanceObserver((list) => {
+  for (const { duration } of list.getEntries()) {
+    collections.count++;
+    collections.totalMs += duration;
+    collections.longestMs = Math.max(collections.longestMs, duration);
+  }
+}).observe({ entryTypes: ['gc'] });
+
+const memory: Recording['memory'] = [];
+const mb = (bytes: number): number => Math.round(bytes / 1024 / 102.4) / 10;
+setInterval(() => {
+  const { rss, heapUsed, external } = process.memoryUsage();
+  memory.push({ rssMb: mb(rss), heapUsedMb: mb(heapUsed), externalMb: mb(external) });
+}, SAMPLE_EVERY_MS).unref();
+
+function write(profile: Profiler.Profile): void {
+  const cpu = process.cpuUsage();
+  const delay = (ns: number): number => Math.round(ns / NS_PER_MS);
+  const recording: Recording = {
+    cpuMs: (cpu.user + cpu.system) / 1000,
+    wallMs: performance.now() - startedAt,
+    peakRssMb: mb(process.resourceUsage().maxRSS * 1024),
+    collections,
+    loopDelayMs: {
+      p50: delay(loopDelay.percentile(50)),
+      p99: delay(loopDelay.percentile(99)),
+      max: delay(loopDelay.max),
+    },
+    memory,
+  };
+  writeFileSync(join(folder, `${name}.cpuprofile`), JSON.stringify(profile));
+  writeFileSync(join(folder, `${name}.json`), JSON.stringify(recording));
+  if (process.env['LOAD_HEAP'] === '1') writeHeapSnapshot(join(folder, `${name}.heapsnapshot`));
+}
+
+process.on('SIGTERM', () => {
+  session.post('Profiler.stop', (error, result) => {
+    if (!error) write(result.profile);
+    process.exit();
+  });
+});
--- /dev/null
+++ b/tools/load/users.ts
@@ -0,0 +1,54 @@
+import { type HttpAnswer } from '../../src/transport/http-client';
+
+type Ask = (path: string, body: object, method: string) => Promise<HttpAnswer | null>;
+
+const POLL_MS = 5000;
+const RETRY_MS = 1000;
+
+/** Users who submit jobs at an even rate and ask about each until it is done. */
+export class LoadUsers {
+  readonly counters = { submitted: 0, accepted: 0, done: 0, refused: 0, unanswered: 0 };
+
+  constructor(
+    private readonly ask: Ask,
+    private readonly teams: readonly string[],
+    private readonly tasks: number,
+    private readonly taskSeconds: number,
+  ) {}
+
+  begin(jobsPerMinute: number): void {
+    setInterval(() => void this.submit(), 60_000 / jobsPerMinute);
+  }
+
+  private async submit(): Promise<void> {
+    const ref = `job-${String(++this.counters.submitted).padStart(6, '0')}`;
+    const body = {
+      ...{ ref, workload: 'load', crew: this.teams[this.counters.submitted % this.teams.length] },
+      ...{ shape: 'sweep', urgency: 'normal', pieces: this.tasks, cpus: 1, accelerators: 0, memory_gb: 1.2 },
+      ...{ build: 'img-01', image_gb: 0.7, models: null, yard: null, together: false, apart: false },
+      ...{ loaners: true, expected_s: this.taskSeconds, snapshot_every_s: 0, snapshot_s: 0, due_s: 200 },
+    };
+    for (;;) {
+      const answer = await this.ask('/v2/runs', body, 'POST');
+      if (answer === null) this.counters.unanswered++;
+      if (answer?.status === 201 || answer?.status === 200) break;
+      this.counters.refused++;
+      await this.pause(RETRY_MS);
+    }
+    this.counters.accepted++;
+    await this.poll(ref);
+  }
+
+  private async poll(ref: string): Promise<void> {
+    for (;;) {
+      await this.pause(POLL_MS);
+      const answer = await this.ask(`/v2/runs/${ref}`, {}, 'GET');
+      if ((answer?.body as { status?: string } | undefined)?.status === 'done') break;
+    }
+    this.counters.done++;
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+  }
+}
