--- /dev/null
+++ b/test/pacing.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { ProcessHealth } from '../src/transport/process-health';
+import { WorkPacer } from '../src/transport/work-pacer';
+
+const OPTIONS = { leastMs: 500, mostMs: 2500, share: 0.1 };
+
+test('repeated work waits longer the more it cost, within its bounds', async (t) => {
+  const cases: { name: string; costMs: number; dueAfterMs: number }[] = [
+    { name: 'nothing', costMs: 0, dueAfterMs: 500 },
+    { name: 'little', costMs: 20, dueAfterMs: 500 },
+    { name: 'its share', costMs: 50, dueAfterMs: 500 },
+    { name: 'more than its share', costMs: 120, dueAfterMs: 1200 },
+    { name: 'far more', costMs: 900, dueAfterMs: 2500 },
+    { name: 'a clock that went back', costMs: -10, dueAfterMs: 500 },
+  ];
+  for (const { name, costMs, dueAfterMs } of cases) {
+    await t.test(name, () => {
+      const pacer = new WorkPacer(OPTIONS);
+      assert.equal(pacer.due(0), true, 'at first');
+      pacer.took(1000, 1000 + costMs);
+      assert.equal(pacer.due(1000 + dueAfterMs - 1), false);
+      assert.equal(pacer.due(1000 + dueAfterMs), true);
+    });
+  }
+});
+
+test('whatever it costs, work takes its share of the time at most, unless the longest pause is over', () => {
+  fc.assert(
+    fc.property(fc.array(fc.double({ min: 0, max: 250, noNaN: true }), { minLength: 1 }), (costs) => {
+      const pacer = new WorkPacer(OPTIONS);
+      let now = 0;
+      let worked = 0;
+      for (const cost of costs) {
+        while (!pacer.due(now)) now += 1;
+        pacer.took(now, now + cost);
+        worked += cost;
+        now += cost;
+      }
+      while (!pacer.due(now)) now += 1;
+      assert.ok(worked <= OPTIONS.share * now + 1e-6, `${worked} of ${now} ms`);
+    }),
+  );
+});
+
+test('memory, collections and delay of the event loop are told', () => {
+  const health = new ProcessHealth();
+  health.collected(3);
+  health.collected(9);
+  for (const lateMs of [-1, 40, 250, 5]) health.timerFired(lateMs);
+  const { memory, collections, eventLoop } = health.summary();
+  assert.deepEqual(collections, { count: 2, totalMs: 12, longestMs: 9 });
+  assert.deepEqual(eventLoop, { lastDelayMs: 5, longestDelayMs: 250, heldUp: 1 });
+  assert.ok(memory.residentMb > memory.heapMb && memory.heapMb > 0);
+});
