--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -17,36 +17,59 @@
   },
 }));
 
+// A package knows nothing of the service, nor of other packages' insides: it declares what it needs of them.
+const packageRules = {
+  files: ['packages/*/src/**/*.ts', 'packages/*/test/**/*.ts'],
+  languageOptions: {
+    parserOptions: {
+      project: ['./packages/*/tsconfig.json', './packages/*/test/tsconfig.json'],
+      tsconfigRootDir: import.meta.dirname,
+    },
+  },
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: [{ group: ['../../*', '../../../*'], message: 'a package imports nothing of the service' }],
+      },
+    ],
+  },
+};
+
+const typeChecked = {
+  // node:test runs what `test` returns by itself.
+  '@typescript-eslint/no-floating-promises': [
+    'error',
+    { allowForKnownSafeCalls: [{ from: 'package', package: 'node:test', name: 'test' }] },
+  ],
+  '@typescript-eslint/no-misused-promises': ['error', { checksVoidReturn: false }],
+  '@typescript-eslint/await-thenable': 'error',
+  '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
+};
+
 export default tseslint.config(
-  { ignores: ['target/**', 'target-test/**', 'node_modules/**'] },
+  { ignores: ['target/**', 'target-test/**', 'node_modules/**', 'packages/*/index.js'] },
   js.configs.recommended,
   ...tseslint.configs.strict,
   ...layerRules,
   {
-    files: ['src/**/*.ts', 'test/**/*.ts'],
+    files: ['src/**/*.ts', 'test/**/*.ts', 'tools/balance/**/*.ts'],
     languageOptions: {
       parserOptions: { project: './tsconfig.test.json', tsconfigRootDir: import.meta.dirname },
     },
-    rules: {
-      // node:test runs what `test` returns by itself.
-      '@typescript-eslint/no-floating-promises': [
-        'error',
-        { allowForKnownSafeCalls: [{ from: 'package', package: 'node:test', name: 'test' }] },
-      ],
-      '@typescript-eslint/no-misused-promises': ['error', { checksVoidReturn: false }],
-      '@typescript-eslint/await-thenable': 'error',
-      '@typescript-eslint/switch-exhaustiveness-check': [
-        'error',
-        { considerDefaultExhaustiveForUnions: true },
-      ],
-    },
+    rules: typeChecked,
   },
+  packageRules,
+  { files: ['packages/**/*.ts'], rules: typeChecked },
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'packages/*/src/**/*.ts'],
     rules: {
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
       'max-lines-per-function': ['error', { max: 60, skipBlankLines: true, skipComments: true }],
     },
   },
-  { files: ['test/**/*.ts'], rules: { '@typescript-eslint/no-non-null-assertion': 'off' } },
+  {
+    files: ['test/**/*.ts', 'packages/*/test/**/*.ts'],
+    rules: { '@typescript-eslint/no-non-null-assertion': 'off' },
+  },
 );
--- /dev/null
+++ b/packages/load-balancer/src/runtime-estimator.ts
@@ -0,0 +1,114 @@
+import { errorFunction, inverseErrorFunction } from 'simple-statistics';
+
+/** How long something takes, and by how much that may be wrong (one standard deviation). */
+export interface Estimate {
+  meanS: number;
+  errorS: number;
+}
+
+/** What must be known of a job for its tasks' run time to be estimated. */
+export interface EstimatedJob {
+  job: string;
+  workload: string;
+  expectedS: number;
+}
+
+/** Owners' estimates are often wrong by half. */
+const PRIOR_ERROR = 0.5;
+/** Weight of the owner's estimate against observed tasks, in tasks. */
+const PRIOR_WEIGHT = 4;
+/** Machines of a type differ by a tenth: no estimate is better than this. */
+const LEAST_ERROR = 0.1;
+/** A task that has run for longer than was expected goes on for at least this share of the error. */
+const LEAST_LEFT = 0.2;
+/** Probabilities are kept this far from 0 and 1: beyond, the approximations say nothing. */
+const LEAST_PROBABILITY = 1e-6;
+
+/** Mean and variance of a series, by Welford's method. */
+class Series {
+  count = 0;
+  mean = 0;
+  private squares = 0;
+
+  add(value: number): void {
+    this.count++;
+    const delta = value - this.mean;
+    this.mean += delta / this.count;
+    this.squares += delta * (value - this.mean);
+  }
+
+  get variance(): number {
+    return this.count < 2 ? 0 : this.squares / (this.count - 1);
+  }
+}
+
+/**
+ * Learns from finished tasks how far owners' estimates are off: first what holds for a class of jobs, then what holds for the
+ * job itself. Each is a correction of the estimate below it, the more so the more tasks were seen.
+ */
+export class RuntimeEstimator {
+  private readonly byWorkload = new Map<string, Series>();
+  private readonly byJob = new Map<string, Series>();
+
+  /** A task of this job has completed after so long, from the image's arrival to its end. */
+  learn({ job, workload, expectedS }: EstimatedJob, actualS: number): void {
+    if (!(actualS > 0) || !(expectedS > 0)) return;
+    seriesOf(this.byWorkload, workload).add(actualS / expectedS);
+    seriesOf(this.byJob, job).add(actualS);
+  }
+
+  /** The job is over. */
+  forget(job: string): void {
+    this.byJob.delete(job);
+  }
+
+  /** Run time of a whole task. */
+  total({ job, workload, expectedS }: EstimatedJob): Estimate {
+    const prior = { meanS: expectedS, errorS: expectedS * PRIOR_ERROR };
+    const ratio = this.byWorkload.get(workload);
+    const ofClass = ratio ? blend(prior, ratio, expectedS) : prior;
+    const own = this.byJob.get(job);
+    return own ? blend(ofClass, own, 1) : ofClass;
+  }
+
+  /**
+   * Seconds within which a task that has run for so long ends with this probability. Run times are taken as log-normal: a task
+   * that has outlived its estimate is not about to end, it is one of the long ones.
+   */
+  remainingS(job: EstimatedJob, elapsedS: number, probability: number): number {
+    const { meanS, errorS } = this.total(job);
+    const sigma = Math.sqrt(Math.log(1 + (errorS / meanS) ** 2));
+    const median = Math.log(meanS) - sigma ** 2 / 2;
+    const survived = elapsedS > 0 ? 1 - normalProbability((Math.log(elapsedS) - median) / sigma) : 1;
+    const left = within(survived * (1 - probability));
+    const leftS = Math.exp(median + sigma * normalQuantile(1 - left)) - elapsedS;
+    return Math.max(elapsedS > meanS ? LEAST_LEFT * errorS : 0, leftS);
+  }
+}
+
+function within(probability: number): number {
+  return Math.min(1 - LEAST_PROBABILITY, Math.max(LEAST_PROBABILITY, probability));
+}
+
+function normalProbability(z: number): number {
+  return within((1 + errorFunction(z / Math.SQRT2)) / 2);
+}
+
+function normalQuantile(probability: number): number {
+  return Math.SQRT2 * inverseErrorFunction(2 * probability - 1);
+}
+
+function seriesOf(all: Map<string, Series>, key: string): Series {
+  const known = all.get(key) ?? new Series();
+  all.set(key, known);
+  return known;
+}
+
+/** Weighs an estimate against observations, which are in units of `scale` seconds. */
+function blend(prior: Estimate, seen: Series, scale: number): Estimate {
+  const share = seen.count / (seen.count + PRIOR_WEIGHT);
+  const meanS = (1 - share) * prior.meanS + share * seen.mean * scale;
+  const observedError = Math.max(Math.sqrt(seen.variance) * scale, LEAST_ERROR * meanS);
+  const errorS = (1 - share) * prior.errorS + share * observedError;
+  return { meanS, errorS };
+}
--- /dev/null
+++ b/packages/load-balancer/test/model.ts
@@ -0,0 +1,162 @@
+import {
+  PartitionBalancer,
+  balancerSettingsSchema,
+  taskName,
+  type BalancerSettings,
+  type JobView,
+  type MachineView,
+  type MoveExecutor,
+  type PartitionView,
+  type Resources,
+  type TaskId,
+  type TaskView,
+  type TeamView,
+  type WaitingView,
+} from '../src/index';
+
+/** A machine of the model, with what is on it. */
+export interface ModelMachine {
+  id: string;
+  cpus: number;
+  images: string[];
+  accepting?: boolean;
+  fetching?: number;
+  tasks: TaskView[];
+}
+
+const REPORT_MS = 2000;
+const LEASE_MS = 12_000;
+
+/** A job with everything that a test does not care about. */
+export function job(name: string, change: Partial<JobView> & { cpus?: number } = {}): JobView {
+  const { cpus = 1, ...rest } = change;
+  return {
+    ...{ job: name, team: 'north', workload: 'w', priority: 3, needs: needs(cpus) },
+    ...{ image: 'i', imageGb: 1, expectedS: 200, checkpointS: 10, saveS: 1 },
+    ...rest,
+  };
+}
+
+export function needs(cpus: number): Resources {
+  return { cpus, accelerators: 0, memoryGb: cpus };
+}
+
+/** A task that has run for a minute unless said otherwise. */
+export function task(of: JobView, index: number, change: Partial<TaskView> = {}): TaskView {
+  return { job: of.job, index, of, phase: 'running', elapsedS: 60, pinned: null, ...change };
+}
+
+/** A partition whose machines can be set up by hand, and which carries moves out at once or step by step. */
+export class ModelPartition implements PartitionView, MoveExecutor {
+  readonly epoch = 7;
+  readonly waits: WaitingView[] = [];
+  readonly teams = new Map<string, TeamView>();
+  readonly reserved = new Map<string, Resources>();
+  readonly held = new Set<string>();
+  readonly kept = new Set<string>();
+  readonly stopped: string[] = [];
+  /** Room that is refused although it looked free. */
+  refuses = new Set<string>();
+
+  constructor(readonly fleet: ModelMachine[]) {}
+
+  waiting(): WaitingView[] {
+    return this.waits;
+  }
+
+  machines(): MachineView[] {
+    return this.fleet.map((machine) => ({
+      id: machine.id,
+      capacity: needs(machine.cpus),
+      free: this.free(machine),
+      accepting: machine.accepting ?? true,
+      fetching: machine.fetching ?? 0,
+      fetchGbPerS: 1,
+      hasImage: (image: string) => machine.images.includes(image),
+    }));
+  }
+
+  private free(machine: ModelMachine): Resources {
+    let cpus = machine.cpus;
+    for (const { of } of machine.tasks) cpus -= of.needs.cpus;
+    for (const [key, room] of this.reserved) if (key.startsWith(`${machine.id}:`)) cpus -= room.cpus;
+    return needs(cpus);
+  }
+
+  tasksOn(id: string): TaskView[] {
+    return this.machine(id).tasks;
+  }
+
+  machine(id: string): ModelMachine {
+    return this.fleet.find((machine) => machine.id === id) as ModelMachine;
+  }
+
+  allows(): boolean {
+    return true;
+  }
+
+  team(name: string): TeamView {
+    return this.teams.get(name) ?? { usedCpus: 100, guaranteedCpus: 0 };
+  }
+
+  private find(id: TaskId): TaskView | undefined {
+    return this.fleet.flatMap(({ tasks }) => tasks).find((t) => taskName(t) === taskName(id));
+  }
+
+  reserve(machine: string, id: TaskId): boolean {
+    const moved = this.find(id);
+    if (!moved || this.refuses.has(machine)) return false;
+    this.reserved.set(`${machine}:${taskName(id)}`, moved.of.needs);
+    return true;
+  }
+
+  release(machine: string, id: TaskId): void {
+    this.reserved.delete(`${machine}:${taskName(id)}`);
+  }
+
+  stop(machine: string, id: TaskId): void {
+    this.stopped.push(taskName(id));
+    this.machine(machine).tasks = this.machine(machine).tasks.map((t) =>
+      taskName(t) === taskName(id) ? { ...t, pinned: 'stopping' } : t,
+    );
+  }
+
+  holdTask(id: TaskId): void {
+    this.held.add(taskName(id));
+  }
+
+  freeTask(id: TaskId): void {
+    this.held.delete(taskName(id));
+  }
+
+  keepRoom(machine: string, name: string): void {
+    const wait = this.waits.find(({ of }) => of.job === name);
+    this.kept.add(`${machine}:${name}`);
+    if (wait) this.reserved.set(`${machine}:${name}/next`, wait.of.needs);
+  }
+
+  endKeeping(machine: string, name: string): void {
+    this.kept.delete(`${machine}:${name}`);
+    this.reserved.delete(`${machine}:${name}/next`);
+  }
+
+  /** Takes a task off its machine. */
+  drop(id: TaskId): TaskView | undefined {
+    const found = this.find(id);
+    for (const machine of this.fleet)
+      machine.tasks = machine.tasks.filter((t) => taskName(t) !== taskName(id));
+    return found;
+  }
+}
+
+/** The balancer of a model partition, with settings that differ from the defaults. */
+export function balancerOf(
+  partition: ModelPartition,
+  change: Partial<BalancerSettings> = {},
+): PartitionBalancer {
+  return new PartitionBalancer({
+    ...{ partition: 'p0', priorities: 4, view: partition, executor: partition },
+    settings: balancerSettingsSchema.parse(change),
+    timeouts: { reportMs: REPORT_MS, leaseMs: LEASE_MS },
+  });
+}
--- a/src/client.ts
+++ b/src/client.ts
@@ -10,7 +10,8 @@
   json: boolean;
 }
 
-interface Output {
+/** Where a command for people writes. */
+export interface Output {
   out: (line: string) => void;
   err: (line: string) => void;
 }
@@ -56,7 +57,8 @@
   return ref;
 }
 
-async function guarded(output: Output, act: () => Promise<number>): Promise<number> {
+/** Runs a command; words that are wrong end it with the code for that. */
+export async function guarded(output: Output, act: () => Promise<number>): Promise<number> {
   try {
     return await act();
   } catch (error) {
@@ -66,14 +68,17 @@
   }
 }
 
-/** Asks until there is an answer that will not change by asking again. */
-async function ask(
+/**
+ * Asks until there is an answer that will not change by asking again. Null: there was none, which has been said on standard
+ * error.
+ */
+export async function request(
   method: string,
   path: string,
   body: unknown,
-  { server, json }: ClientOptions,
-  { out, err }: Output,
-): Promise<number> {
+  server: string,
+  { err }: Output,
+): Promise<HttpAnswer | null> {
   if (!/^[0-9.]+:[0-9]+$/.test(server))
     throw new Usage(`--server ${server}: must be an IPv4 address and a port`);
   const client = new HttpClient(server, 1);
@@ -92,8 +97,21 @@
     err(
       `heathbridge: ${server}: ${answer ? `${answer.status} ${said ?? ''}`.trim() : 'no answer'}; try again later`,
     );
-    return EXIT.unreachable;
+    return null;
   }
+  return answer;
+}
+
+async function ask(
+  method: string,
+  path: string,
+  body: unknown,
+  { server, json }: ClientOptions,
+  output: Output,
+): Promise<number> {
+  const answer = await request(method, path, body, server, output);
+  if (!answer) return EXIT.unreachable;
+  const { out, err } = output;
   const content = (answer.body ?? {}) as JobAnswer;
   if (json) out(JSON.stringify(content));
   if (answer.status >= 400) {
--- a/src/command-line.ts
+++ b/src/command-line.ts
@@ -1,14 +1,18 @@
 import { Command } from 'commander';
+import { balance } from './balance-command';
 import { cancel, status, submit, type ClientOptions } from './client';
-import { readSettings, refuse, startService, VERSION, type ServiceOptions } from './service';
+import { readFeatures, readSettings, startService, VERSION, type ServiceOptions } from './service';
+import { refuse } from './settings-files';
 
 const BAD_USAGE = 2;
 const DEFAULT_SERVER = '127.0.0.1:8080';
 
-function check(options: ServiceOptions): void {
+async function check(options: ServiceOptions): Promise<void> {
   const { settings, policy } = readSettings(options);
+  await readFeatures(options.features);
   process.stdout.write(`settings of ${settings.member}: fine\n`);
   if (options.policy !== undefined) process.stdout.write(`policy: ${JSON.stringify(policy)}\n`);
+  if (options.features !== undefined) process.stdout.write('features: fine\n');
 }
 
 const output = {
@@ -28,7 +32,8 @@
   const service = (command: Command): Command =>
     command
       .requiredOption('--config <file>', "the platform's settings (JSON)")
-      .option('--policy <file>', "the operators' policy (Lua)");
+      .option('--policy <file>', "the operators' policy (Lua)")
+      .option('--features <file>', 'what is switched on beyond scheduling (TOML)');
   const client = (command: Command): Command =>
     command
       .option('--server <address:port>', 'a controller of the service', DEFAULT_SERVER)
@@ -44,6 +49,9 @@
   client(program.command('cancel <ref>').description('cancel a job')).action(
     (ref: string, options: ClientOptions) => finish(cancel(ref, options, output)),
   );
+  client(program.command('balance').description('show load, and what is moved and why')).action(
+    (options: ClientOptions) => finish(balance(options, output)),
+  );
   return program;
 }
 
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -12,12 +12,13 @@
 import { Ledger, type StoreTransport } from '../storage/ledger';
 import { type ReportReply } from './report-gateway';
 import { refreshIntervalMs, maxStalenessMs } from './staleness';
+import { type Balancing } from './balancing';
 import { CloudClient, type CloudTransport } from './cloud-client';
 import { Leader } from './leader';
 import { Member } from './member';
 import { PartitionCore } from './partition';
 import { PartitionActor } from './partition-actor';
-import { MisroutedReports } from './reachability';
+import { ParkedReports } from './parked-reports';
 import { Runs } from './runs';
 import { LeaseExtensions } from './lease-extension';
 
@@ -27,11 +28,6 @@
 const LOADS_MS = { least: 450, most: 1800 };
 /** Load reports may take this share of the time. */
 const LOADS_SHARE = 0.08;
-/** Machines that come here within this time of a change of owner are merely on their way. */
-const SETTLED_MS = 8000;
-/** Of the 4 s that a machine waits for an answer. */
-const PARKED_MS = 2000;
-const PARKED_BRIEFLY_MS = 800;
 const MEASURES_AFTER_MS = 20_000;
 /** A store that has not answered for this long counts as out of reach. */
 const STORE_SILENT_MS = 1500;
@@ -52,15 +48,8 @@
   toPeer: (member: string, bytes: Buffer) => void;
   /** In no other process's names, this controller's earlier lives included. */
   life: string;
-}
-
-/** A report of a machine whose partition may be about to change hands. */
-interface Parked {
-  report: Report;
-  reply: (reply: ReportReply) => void;
-  partition: string;
-  /** Version of the partition's record when it came. */
-  version: number;
+  /** Null: load is not balanced beyond what placement and planning do. */
+  balancing: Balancing | null;
 }
 
 /** One controller: the actors and what joins them. */
@@ -79,11 +68,8 @@
     share: LOADS_SHARE,
   });
   private readonly loadToldAt = new Map<string, number>();
-  private readonly misrouted = new MisroutedReports();
+  private readonly parked: ParkedReports;
   private lastHeard: number | null = null;
-  /** When the replica first showed a partition's present owner. */
-  private readonly ownedSince = new Map<string, { version: number; at: number }>();
-  private parked: Parked[] = [];
   private readonly maxStalenessMs: number;
   private refreshAskedAt = Number.NEGATIVE_INFINITY;
   private readonly peerStoreOk = new Map<string, { ok: boolean; at: number }>();
@@ -103,6 +89,9 @@
     };
     this.ledger = new Ledger(wiring.store, wiring.watch, clock, log, rates, this.metrics);
     this.replica = new ReplicaView(this.ledger, log);
+    this.parked = new ParkedReports(this.replica, clock, (report, reply) =>
+      this.answer(report, reply, false),
+    );
     this.extensions = new LeaseExtensions(
       settings.peers.map((p) => p.member),
       clock.steady(),
@@ -120,6 +109,7 @@
       ...{ settings, policy, clock, log, member: this.member, ledger: this.ledger, replica: this.replica },
       cloud: new CloudClient(wiring.cloud, clock, log, settings.cloudRate),
       extensions: this.extensions,
+      balancing: wiring.balancing?.fleet ?? null,
       sendTo: (to, message) => this.sendTo(to, message),
     });
     const teams = new Map(settings.teams.map((t) => [t.name, t]));
@@ -177,13 +167,10 @@
       this.partitions.delete(id);
       this.log.info({ partition: id }, 'partition released');
     }
-    const now = this.clock.steady();
-    for (const { id, version } of this.replica.partitions.values())
-      if (this.ownedSince.get(id)?.version !== version) this.ownedSince.set(id, { version, at: now });
     for (const stored of this.replica.partitions.values()) {
       if (!this.partitions.has(stored.id) && this.isMine(stored)) this.takeOver(stored);
     }
-    this.unpark((p) => this.replica.partitions.get(p.partition)?.version !== p.version);
+    this.parked.ownersChanged();
   }
 
   private isMine({ record }: StoredPartition): boolean {
@@ -223,6 +210,7 @@
       this.log,
       this.member,
       options,
+      this.wiring.balancing?.forPartition(core) ?? null,
     );
     for (const [machine, entry] of replica.machines)
       if (entry.record.partition === id) actor.tell({ kind: 'machine', id: machine, entry });
@@ -269,44 +257,10 @@
       return;
     }
     const stored = this.replica.partitions.get(machine.record.partition);
-    if (stored && mayWait && this.ownerMayChange(stored, report.machine))
-      return this.park(
-        { report, reply, partition: stored.id, version: stored.version },
-        this.parkedMs(stored),
-      );
+    if (stored && mayWait && this.parked.park(report, reply, stored)) return;
     reply({ kind: 'redirect', owner: this.redirectTo(stored?.record.owner) });
   }
 
-  /**
-   * Many machines come here at once that another controller has owned for a while: it is gone, or cut from them. Sent
-   * back there they would lose seconds of their leases, each time anew, until the partition has changed hands.
-   */
-  private ownerMayChange({ id }: StoredPartition, machine: string): boolean {
-    const now = this.clock.steady();
-    this.misrouted.note(id, machine, now);
-    const machines = this.replica.fleetOf(id).reduce((n, [, fleet]) => n + fleet.size, 0);
-    return this.misrouted.many(id, machines, now);
-  }
-
-  /** Just after a change of owner they are on their way to the new one, who is glad if not all come at once. */
-  private parkedMs({ id, version }: StoredPartition): number {
-    const since = this.ownedSince.get(id);
-    const settled = since?.version === version && this.clock.steady() - since.at > SETTLED_MS;
-    return settled ? PARKED_MS : PARKED_BRIEFLY_MS;
-  }
-
-  private park(parked: Parked, ms: number): void {
-    this.parked.push(parked);
-    this.clock.after(ms, () => this.unpark((p) => p === parked));
-  }
-
-  private unpark(over: (parked: Parked) => boolean): void {
-    const answered = this.parked.filter(over);
-    if (answered.length === 0) return;
-    this.parked = this.parked.filter((p) => !over(p));
-    for (const { report, reply } of answered) this.answer(report, reply, false);
-  }
-
   private redirectTo(owner: string | undefined): string | null {
     return owner !== undefined && owner !== this.settings.member ? owner : null;
   }
@@ -322,6 +276,7 @@
     const message = decodePeer(bytes);
     if (!message) {
       this.log.info('malformed message from a peer');
+      this.wiring.balancing?.fleet.countMalformed();
       return;
     }
     if (message.kind === 'status') {
@@ -367,6 +322,9 @@
         }
         return;
       }
+      case 'balance':
+        this.leader.tell({ kind: 'summary', summary: message.summary, at: now });
+        return;
       case 'move':
       case 'retire': {
         const machine = this.replica.machines.get(message.machine);
@@ -389,11 +347,20 @@
       heardMs: this.lastHeard === null ? -1 : now - this.lastHeard,
       revision: this.ledger.synced ? this.ledger.revision : 0,
     };
-    const forLeader = { ...status, partitions, misrouted: this.misrouted.counts(now) };
+    const forLeader = { ...status, partitions, misrouted: this.parked.misrouted.counts(now) };
     if (leader === this.settings.member) this.take(forLeader);
     for (const { member: peer } of this.settings.peers)
       this.sendTo(peer, peer === leader ? forLeader : { ...status, partitions: [], misrouted: [] });
-    if (loadsDue) this.loading.took(now, this.clock.steady());
+    if (loadsDue) {
+      if (leader !== undefined) this.sendSummaries(leader, now);
+      this.loading.took(now, this.clock.steady());
+    }
+  }
+
+  private sendSummaries(leader: string, now: number): void {
+    for (const partition of this.partitions.values())
+      if (partition.active && partition.balancing)
+        this.sendTo(leader, { kind: 'balance', summary: partition.balancing.summary(now) });
   }
 
   /** How the partitions owned here stand; one that is being taken over tells it rarely, for first answers need the time more. */
@@ -453,6 +420,14 @@
       users: this.runs.counters,
       took: this.metrics.summary(),
       partitions: [...this.partitions.values()].map((p) => p.core.summary()),
+      ...(this.wiring.balancing ? { balance: this.balanceStatus(this.wiring.balancing) } : {}),
     };
   }
+
+  /** How load is balanced: the whole fleet where this controller leads, else who does. */
+  private balanceStatus({ fleet }: Balancing): object {
+    const leader = this.replica.leader?.member ?? null;
+    const moves = [...this.partitions.values()].flatMap(({ balancing }) => balancing?.running() ?? []);
+    return { leader, moves, fleet: this.leader.leading ? fleet.status(this.clock.steady()) : null };
+  }
 }
--- a/src/coordination/job.ts
+++ b/src/coordination/job.ts
@@ -193,6 +193,11 @@
     this.notBefore.set(index, until);
   }
 
+  /** It need not wait any longer. */
+  waitsNoMore(index: number): void {
+    this.notBefore.delete(index);
+  }
+
   /**
    * How many wait that may be started. Until all machines have spoken that is what no earlier owner may have started;
    * to look for it among hundreds that may have been, at each of hundreds of first reports, costs what these need most.
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -6,12 +6,14 @@
 import { RequestPriority, type Ledger } from '../storage/ledger';
 import { keys, type MachineRecord, type MemberRecord } from '../protocol/records';
 import { type ListedMachine, type MachineType, type RentalOrder } from '../protocol/cloud';
-import { type PartitionLoad, type PeerMessage } from '../protocol/peers';
+import { LEAVES_FLEET, type PartitionLoad, type PeerMessage } from '../protocol/peers';
 import { type Policy } from '../protocol/policy';
 import { type Settings } from '../protocol/settings';
 import { type Report } from '../protocol/workers';
+import type { LoadSummary } from '@heathbridge/load-balancer';
 import { Assignment } from './assignment';
 import { scale } from './autoscale';
+import { type FleetBalancing } from './balancing';
 import { type CloudClient, type RentalResult } from './cloud-client';
 import { FleetHistory } from './fleet-history';
 import { fleetSummary } from './fleet-log';
@@ -25,6 +27,7 @@
   | { kind: 'tick' }
   | { kind: 'changed' }
   | { kind: 'load'; load: PartitionLoad; at: number }
+  | { kind: 'summary'; summary: LoadSummary; at: number }
   | { kind: 'heard'; member: string; heard: Heard; at: number }
   | { kind: 'unknown-machine'; report: Report }
   | { kind: 'listed'; machines: ListedMachine[]; at: number }
@@ -42,6 +45,8 @@
   clock: Clock;
   log: Log;
   extensions: LeaseExtensions;
+  /** Null: moves of machines are ordered as they are planned. */
+  balancing: FleetBalancing | null;
   sendTo: (member: string, message: PeerMessage) => void;
 }
 
@@ -136,6 +141,9 @@
         this.loads.set(message.load.partition, { load: message.load, at: message.at });
         this.history.takeLoad(message.load, message.at, now);
         return;
+      case 'summary':
+        this.deps.balancing?.take(message.summary, message.at);
+        return;
       case 'heard':
         this.assignment.reachability.tell(message.member, message.heard, message.at);
         return;
@@ -327,8 +335,26 @@
       policy,
     });
     this.tellFleet(loads, machines, now);
-    for (const action of actions) this.tellOwner(action, now);
-    this.order(actions);
+    const reviewed = this.review(actions, loads, now);
+    for (const action of reviewed) this.tellOwner(action, now);
+    this.order(reviewed);
+  }
+
+  /** Leaves out moves of machines that are not worth it by the partitions' own summaries. */
+  private review(
+    actions: readonly FleetAction[],
+    loads: readonly PartitionLoad[],
+    now: number,
+  ): readonly FleetAction[] {
+    const { balancing, log, replica } = this.deps;
+    if (!balancing) return actions;
+    const machines = loads.flatMap((load) => load.machines);
+    const draining = machines.filter((m) => m.leavingTo !== null && m.leavingTo !== LEAVES_FLEET).length;
+    const fleet = { machines: replica.machines.size, draining };
+    const { actions: kept, allowed, refused } = balancing.review(actions, fleet, now);
+    for (const decision of allowed) log.info(decision, 'machine move');
+    for (const decision of refused) log.debug(decision, 'machine move refused');
+    return kept;
   }
 
   private freshLoads(now: number): PartitionLoad[] {
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -17,6 +17,8 @@
   /** Set once the task is to be stopped. */
   stop: { graceS: number } | null;
   saving: boolean;
+  /** When it was started, or first seen by this owner. */
+  since: number;
   /** When it was first seen running (image present), or null. */
   runningSince: number | null;
 }
@@ -74,6 +76,8 @@
   private readonly oursFrom: number;
   private readonly used: Free = { cpus: 0, accelerators: 0, memoryGb: 0 };
   private unknownTasks = 0;
+  /** Room that is held for tasks which are to be moved here. */
+  private readonly reservations = new Map<string, JobSpec>();
 
   constructor(
     readonly id: string,
@@ -107,13 +111,32 @@
   }
 
   private count({ spec }: InFlightTask, sign: number): void {
-    if (!spec) this.unknownTasks += sign;
-    if (!spec) return;
+    if (spec) this.use(spec, sign);
+    else this.unknownTasks += sign;
+  }
+
+  private use(spec: JobSpec, sign: number): void {
     this.used.cpus += sign * spec.cpus;
     this.used.accelerators += sign * spec.accelerators;
     this.used.memoryGb += sign * spec.memoryGb;
   }
 
+  /** Room is held here for tasks that come from other machines: it is neither given out nor does the machine go away. */
+  get reserved(): boolean {
+    return this.reservations.size > 0;
+  }
+
+  reserve(key: string, spec: JobSpec): void {
+    if (this.reservations.has(key)) return;
+    this.reservations.set(key, spec);
+    this.use(spec, 1);
+  }
+
+  release(key: string): void {
+    const spec = this.reservations.get(key);
+    if (spec && this.reservations.delete(key)) this.use(spec, -1);
+  }
+
   /** What is free on a machine that has this much; null while something unknown is on it. */
   free(has: Free): Free | null {
     if (this.unknownTasks > 0) return null;
@@ -243,8 +266,9 @@
   }
 
   /** Notes a start that goes out in the answer to the report last taken. */
-  start(spec: JobSpec, index: number, attempt: number): Command {
+  start(spec: JobSpec, index: number, attempt: number, now: number): Command {
     this.add({
+      since: now,
       ref: spec.ref,
       index,
       attempt,
@@ -261,6 +285,7 @@
   /** Takes a live task over that an earlier owner started. */
   adopt(t: ReportedTask, spec: JobSpec | null, now: number): InFlightTask {
     const task: InFlightTask = {
+      since: now,
       ref: t.ref,
       index: t.index,
       attempt: t.attempt,
--- a/src/coordination/partition-actor.ts
+++ b/src/coordination/partition-actor.ts
@@ -19,6 +19,7 @@
 import { LEAVES_FLEET } from '../protocol/peers';
 import { type Condition, type Write } from '../protocol/store';
 import { type Command, type Report } from '../protocol/workers';
+import { type PartitionBalancing } from './balancing';
 import { type PartitionCore } from './partition';
 
 export type PartitionMessage =
@@ -90,10 +91,13 @@
     private readonly log: Log,
     private readonly authority: Authority,
     private readonly options: PartitionActorOptions,
+    /** Null: the partition's tasks are not moved. */
+    readonly balancing: PartitionBalancing | null = null,
   ) {
     super((error) => log.error({ error, partition: core.id }, 'partition failed'));
     this.slots = new ProgressSlots(options.valueBytes);
     this.since = clock.steady();
+    core.observer = balancing;
   }
 
   get active(): boolean {
@@ -115,7 +119,7 @@
         return;
       case 'machine':
         if (message.entry) this.core.putMachine(message.id, message.entry.record, message.entry.version, now);
-        else this.core.dropMachine(message.id);
+        else this.core.dropMachine(message.id, now);
         return;
       case 'job':
         if (message.progress) this.slots.put(message.spec.ref, message.progress.slot);
@@ -123,24 +127,14 @@
         return;
       case 'closed':
         this.slots.drop(message.ref);
-        this.core.closeJob(message.ref, message.state);
+        this.core.closeJob(message.ref, message.state, now);
         return;
       case 'ended':
         this.core.putOver(message.spec, message.state, message.version);
         this.core.putEnded(message.spec, message.state, message.version);
         return;
       case 'tick':
-        if (!this.active) return;
-        this.core.tick(now, this.clock.today().getTime());
-        this.tellSettled(now);
-        for (const { id, toPartition } of this.core.emptied()) {
-          if (toPartition === LEAVES_FLEET) this.relend(id, { phase: 'returning', why: 'spare' }, false);
-          else this.relend(id, { partition: toPartition }, false);
-        }
-        if (this.relends.size > 0) void this.writeRelends();
-        if (this.core.finals.size > 0) void this.writeFinals();
-        void this.writeProgress(now);
-        void this.writeAssigned(now);
+        this.tick(now);
         return;
       case 'move':
         if (!this.active) return;
@@ -166,6 +160,21 @@
     }
   }
 
+  private tick(now: number): void {
+    if (!this.active) return;
+    this.core.tick(now, this.clock.today().getTime());
+    this.tellSettled(now);
+    this.tellMoves();
+    for (const { id, toPartition } of this.core.emptied()) {
+      if (toPartition === LEAVES_FLEET) this.relend(id, { phase: 'returning', why: 'spare' }, false);
+      else this.relend(id, { partition: toPartition }, false);
+    }
+    if (this.relends.size > 0) void this.writeRelends();
+    if (this.core.finals.size > 0) void this.writeFinals();
+    void this.writeProgress(now);
+    void this.writeAssigned(now);
+  }
+
   /** Just taken over, and machines are still to speak. */
   settling(now: number): boolean {
     return this.core.unconfirmed > 0 && now - this.since < SETTLING_MS;
@@ -181,6 +190,11 @@
     this.log.info({ partition: this.core.id, seconds, lost, reports, stale }, 'partition settled');
   }
 
+  private tellMoves(): void {
+    const decisions = this.balancing?.takeDecisions() ?? [];
+    for (const decision of decisions) this.log.info({ partition: this.core.id, ...decision }, 'task move');
+  }
+
   /** Which machines keep a take-over waiting, told once: its symptoms alone do not show them. */
   private tellWaiting(now: number): void {
     if (this.toldWaiting || now - this.since < SETTLING_MS) return;
--- a/src/coordination/partition-load.ts
+++ b/src/coordination/partition-load.ts
@@ -31,9 +31,10 @@
       return {
         machine: m.id,
         tasks: m.tasks.size,
-        freeCpus: free.cpus,
-        freeMemoryGb: free.memoryGb,
-        freeAccelerators: free.accelerators,
+        // Below nothing while room is being made: what is kept is more than what is free.
+        freeCpus: Math.max(0, free.cpus),
+        freeMemoryGb: Math.max(0, free.memoryGb),
+        freeAccelerators: Math.max(0, free.accelerators),
         idleMs: m.tasks.size > 0 ? 0 : now - m.idleSince,
         silentMs: m.silentMs(now),
         faulty: partition.isFaulty(m),
--- a/src/coordination/partition.ts
+++ b/src/coordination/partition.ts
@@ -9,11 +9,13 @@
 import { partitionLoad } from './partition-load';
 import { PartitionPipelines } from './pipelines';
 import { type Free } from './placement';
-import { TaskPlacement, type PlacementHost } from './task-placement';
+import { TaskPlacement, type PlacementHost, type PlacementSpreader } from './task-placement';
 import { TeamQuota } from './team-quota';
 import { UnconfirmedMachines } from './unconfirmed-machines';
 import { schedulingOrder } from './scheduling-order';
 import { deadlinesOf, Estimates } from './priority';
+import { progressToWrite, type ProgressToWrite } from './start-watermarks';
+import { type TaskObserver } from './task-observer';
 
 export interface PartitionOptions {
   reportMs: number;
@@ -25,8 +27,6 @@
 const REORDER_MS = 1000;
 /** A task that has run for less than this is not stopped for another partition's sake: it would seem never to have begun. */
 const RUN_BEFORE_STOP_MS = 30_000;
-/** Start watermarks are raised ahead of what can start now by this share of the partition's machines. */
-const WATERMARK_AHEAD = 0.5;
 /** Of a stored value, what the ranges of one job may take. */
 const RANGES_SHARE = 0.25;
 
@@ -46,7 +46,9 @@
   readonly estimates = new Estimates();
   private readonly unconfirmedMachines = new UnconfirmedMachines();
   readonly quota: TeamQuota;
-  private readonly placement: TaskPlacement;
+  readonly placement: TaskPlacement;
+  /** Moves tasks between machines; null: nothing is moved. */
+  observer: TaskObserver | null = null;
   private readonly ended = new Map<string, FinalState>();
   private readonly pipelines = new PartitionPipelines();
   readonly counters = { started: 0, done: 0, lost: 0, failed: 0, reports: 0, stale: 0, placementPasses: 0 };
@@ -71,11 +73,16 @@
     return this.options.reportMs;
   }
 
+  get spreader(): PlacementSpreader | null {
+    return this.observer?.spreader ?? null;
+  }
+
   isAssigned(machine: string): boolean {
     return this.assigned.has(machine);
   }
 
-  private get rangeBytes(): number {
+  /** What the ranges of one job may take of a stored value. */
+  get rangeBytes(): number {
     return this.options.valueBytes * RANGES_SHARE;
   }
 
@@ -104,13 +111,14 @@
   }
 
   /** The machine is gone, and everything on it. */
-  dropMachine(id: string): void {
+  dropMachine(id: string, now: number): void {
     const machine = this.machines.get(id);
     if (!machine) return;
     this.machines.delete(id);
     // The store's list forgets it as well: should it come back, it is opened anew.
     this.assigned.delete(id);
-    for (const task of machine.clear()) this.giveBack(task);
+    for (const task of machine.clear()) this.giveBack(task, now);
+    this.observer?.machineLost(id, now);
     this.confirmed(id);
   }
 
@@ -118,6 +126,7 @@
   lock(id: string): boolean {
     const machine = this.machines.get(id);
     if (!machine || machine.locked || !machine.confirmed || machine.tasks.size > 0) return false;
+    if (machine.reserved) return false;
     machine.locked = true;
     return true;
   }
@@ -166,7 +175,7 @@
   emptied(): { id: string; toPartition: string }[] {
     const found = [];
     for (const m of this.machines.values()) {
-      if (m.leavingTo !== null && m.tasks.size === 0 && !m.locked)
+      if (m.leavingTo !== null && m.tasks.size === 0 && !m.reserved && !m.locked)
         found.push({ id: m.id, toPartition: m.leavingTo });
     }
     return found;
@@ -260,7 +269,7 @@
   }
 
   /** The store knows how a job ended. */
-  closeJob(ref: string, state: JobState): void {
+  closeJob(ref: string, state: JobState, now: number): void {
     if (this.pipelines.closed(ref, state)) this.applyPipeline(ref);
     const job = this.jobs.get(ref);
     if (!job) return;
@@ -274,6 +283,7 @@
       const task = machine.tasks.get(taskKey(ref, index));
       if (task) task.stop = { graceS: 0 };
     }
+    this.observer?.closed(ref, now);
   }
 
   private specOf(ref: string): JobSpec | undefined {
@@ -285,42 +295,9 @@
     return this.ended;
   }
 
-  /** Progress to be written, in arrival order; with start watermarks that let the next tasks in turn start. */
-  progress(now: number): { jobs: Map<string, JobProgress>; watermarksRaised: boolean } {
-    const jobs = new Map<string, JobProgress>();
-    let watermarksRaised = false;
-    let room = this.roomAhead(now);
-    const teams = new Map<string, number>();
-    const settled = this.unconfirmed === 0;
-    for (const job of this.sorted()) {
-      if (job.state !== 'open' || job.finished) continue;
-      const waiting = Math.min(job.waitingNow(settled), job.mostOut(now));
-      const { team } = job.spec;
-      // What its team's limit holds back takes no room ahead: it once kept those behind from ever being marked.
-      const ofTeam = teams.get(team) ?? this.room(team).cpus + WATERMARK_AHEAD * this.quota.usedBy(team).cpus;
-      const able = Math.floor(Math.min(room, ofTeam) / Math.max(job.spec.cpus, 0.01));
-      const wants = job.held ? 0 : Math.max(0, Math.min(waiting, able));
-      room -= wants * job.spec.cpus;
-      teams.set(team, ofTeam - wants * job.spec.cpus);
-      const startWatermark =
-        wants > 0 ? Math.max(job.startWatermark, job.watermarkFor(wants, settled)) : job.startWatermark;
-      if (startWatermark > job.startWatermark) watermarksRaised = true;
-      else if (!job.hasProgress) continue;
-      jobs.set(job.ref, { ...job.progress(this.rangeBytes), startWatermark });
-    }
-    return { jobs, watermarksRaised };
-  }
-
-  /** CPUs that could be given out until start watermarks are raised the next time. */
-  private roomAhead(now: number): number {
-    let room = 0;
-    for (const machine of this.machines.values()) {
-      const has = this.capacity(machine);
-      if (!has) continue;
-      room += WATERMARK_AHEAD * has.cpus;
-      if (!this.placement.unfit(machine, now)) room += Math.max(0, machine.free(has)?.cpus ?? 0);
-    }
-    return room;
+  /** Progress to be written, with start watermarks that let the next tasks in turn start. */
+  progress(now: number): ProgressToWrite {
+    return progressToWrite(this, now);
   }
 
   /** The store has this progress: tasks before the start watermarks may start, exits that it tells of may be forgotten. */
@@ -346,7 +323,7 @@
     const outcome = machine.take(report, this.version, now, this.options.leaseMs);
     for (const task of outcome.lost) {
       this.counters.lost++;
-      this.giveBack(task);
+      this.giveBack(task, now);
     }
     for (const exit of outcome.exits) this.exited(machine, exit, now);
     for (const stranger of outcome.strangers) this.adopt(machine, stranger, now);
@@ -358,6 +335,7 @@
     if (machine.noticeUntil !== null) this.drain(machine, now);
     if (machine.tasks.size > 0) machine.idleSince = now;
     const commands = machine.answer((exit) => this.forgettable(exit), now);
+    this.observer?.answering(machine, commands, now);
     this.placement.fill(machine, commands, now);
     return { token: machine.token(this.version), commands };
   }
@@ -368,11 +346,12 @@
   }
 
   private exited(machine: MachineState, exit: Exit, now: number): void {
-    if (exit.inFlight) this.giveBack(exit.inFlight, false);
+    if (exit.inFlight) this.giveBack(exit.inFlight, now, false);
     const job = this.jobs.get(exit.ref);
     const since = exit.inFlight?.runningSince;
     if (job && exit.reason === 'done' && typeof since === 'number' && job.spec.checkpointS === 0) {
       this.estimates.learn(job.spec.workload, job.spec.expectedS, (now - since) / 1000);
+      this.observer?.ran(job.spec, (now - since) / 1000);
     }
     if (!job?.has(exit.index)) return;
     if (exit.reason === 'done') {
@@ -382,11 +361,13 @@
       // If another attempt is out, it is stopped.
       if (!job.isWaiting(exit.index)) this.stopElsewhere(job, exit.index);
       job.finishes(exit.index);
+      this.observer?.finished(exit.ref, exit.index, now);
       this.counters.done++;
       this.endIfDone(job);
       return;
     }
     if (!exit.inFlight) return;
+    if (exit.reason !== 'stopped') this.observer?.failed(exit.ref, exit.index, now);
     if (exit.reason !== 'no_room' && exit.reason !== 'busy') this.lostTask(job);
     if (exit.reason === 'error' || exit.reason === 'unknown') {
       this.counters.failed++;
@@ -419,14 +400,15 @@
     }
   }
 
-  /** A in flight task is surely not on its machine any more. */
-  private giveBack(task: InFlightTask, lost = true): void {
+  /** A task in flight is surely not on its machine any more. */
+  private giveBack(task: InFlightTask, now: number, lost = true): void {
     if (task.spec) this.quota.use(task.spec, -1);
     const job = this.jobs.get(task.ref);
     const machine = job?.out.get(task.index);
     // The same task may be in flight on another machine too, being stopped there.
     if (!job || machine?.tasks.has(taskKey(task.ref, task.index))) return;
     job.comesBack(task.index);
+    if (job.isWaiting(task.index)) this.observer?.gone(task.ref, task.index, now);
     this.endIfDone(job);
     if (lost && task.phase === 'seen') this.lostTask(job);
   }
@@ -468,11 +450,12 @@
       const lost = machine.expire(now, this.options.leaseMs);
       if (!lost) continue;
       this.counters.lost += lost.length;
-      for (const task of lost) this.giveBack(task);
+      for (const task of lost) this.giveBack(task, now);
       this.confirmed(machine.id);
     }
     this.quota.changed();
     this.placement.chooseMachines(now);
+    this.observer?.tick(now);
   }
 
   // Placement.
@@ -499,6 +482,11 @@
     return this.quota.room(team);
   }
 
+  /** Whether nothing new is to be put on a machine just now. */
+  takesNothing(machine: MachineState, now: number): boolean {
+    return this.placement.unfit(machine, now);
+  }
+
   isFaulty(machine: MachineState): boolean {
     return this.placement.isFaulty(machine);
   }
--- a/src/coordination/scheduling-order.ts
+++ b/src/coordination/scheduling-order.ts
@@ -43,7 +43,7 @@
 }
 
 /** Jobs that fit into their team's guarantee together with the team's earlier unfinished ones. */
-function withinGuarantee(
+export function withinGuarantee(
   jobs: readonly PartitionJob[],
   limits: ReadonlyMap<string, Team>,
 ): Set<PartitionJob> {
--- a/src/coordination/server.ts
+++ b/src/coordination/server.ts
@@ -7,6 +7,7 @@
 import { listenForPeers, PeerLink } from '../transport/peer-link';
 import { type Policy } from '../protocol/policy';
 import { type Settings } from '../protocol/settings';
+import { type Balancing } from './balancing';
 import { Controller } from './controller';
 import type { GatewayDependencies } from './gateway';
 import { plainRoutes } from './plain-routes';
@@ -20,7 +21,13 @@
 const LIFE_CHANCES = 2 ** 40;
 
 /** Puts a controller on the network. */
-export function serve(settings: Settings, policy: Policy, clock: Clock, log: Log): void {
+export function serve(
+  settings: Settings,
+  policy: Policy,
+  clock: Clock,
+  log: Log,
+  balancing: Balancing | null,
+): void {
   const links = new Map<string, PeerLink>();
   const controller = new Controller(settings, policy, clock, log, {
     store: new HttpClient(settings.state, STORE_CONNECTIONS),
@@ -28,6 +35,7 @@
     cloud: new HttpClient(settings.cloud, CLOUD_CONNECTIONS),
     toPeer: (member, bytes) => links.get(member)?.send(bytes),
     life: lifeName(settings.member, clock),
+    balancing,
   });
   const health = new ProcessHealth();
   clock.after(HEALTH_AFTER_MS, () => health.watch(clock));
--- a/src/coordination/task-placement.ts
+++ b/src/coordination/task-placement.ts
@@ -13,6 +13,8 @@
 /** A machine that has missed this many reports, and a moment, gets nothing new. */
 const MISSED_REPORTS = 1.5;
 const MISSED_REPORT_MARGIN_MS = 1000;
+/** A task counts for at least so many CPUs. */
+const LEAST_CPUS = 0.01;
 
 /** What placement needs to know of a partition. */
 export interface PlacementHost {
@@ -29,6 +31,16 @@
   free(machine: MachineState): Free | null;
   /** The open jobs in the order in which they get room. */
   sorted(): readonly PartitionJob[];
+  /** Spreads new tasks over the machines; null: they go to the cheap and full ones first. */
+  readonly spreader: PlacementSpreader | null;
+}
+
+/** Bounds what new tasks may take on each machine, so that all are filled alike. */
+export interface PlacementSpreader {
+  /** Looks at the machines that take work, and at how many CPUs wait. */
+  look(machines: Iterable<MachineState>, waitingCpus: number): void;
+  /** CPUs that new tasks of a job may take on a machine now. */
+  allowance(machine: MachineState, free: Free, spec: JobSpec): number;
 }
 
 /** Chooses machines for waiting tasks, and starts the tasks there. */
@@ -104,6 +116,7 @@
   chooseMachines(now: number): void {
     this.slackCpus = null;
     let needed = this.waitingCpus();
+    if (this.host.spreader) return this.spread(this.host.spreader, needed, now);
     const usable: { machine: MachineState; free: number }[] = [];
     for (const machine of this.host.machines.values()) {
       machine.passedOver = false;
@@ -118,6 +131,50 @@
     }
   }
 
+  /** All machines are used, each up to what it is allowed when it is filled. */
+  private spread(spreader: PlacementSpreader, waitingCpus: number, now: number): void {
+    const usable: MachineState[] = [];
+    for (const machine of this.host.machines.values()) {
+      machine.passedOver = false;
+      if (waitingCpus > 0 && this.takesWork(machine, now)) usable.push(machine);
+    }
+    spreader.look(usable, waitingCpus);
+  }
+
+  /**
+   * Starts a task for which room was held on this machine; false: it cannot be started here now. The same conditions hold as
+   * for any other start.
+   */
+  startHeld(
+    job: PartitionJob,
+    index: number,
+    machine: MachineState,
+    commands: Command[],
+    now: number,
+  ): boolean {
+    const free = this.host.free(machine);
+    if (!free || this.host.unconfirmed > 0 || !this.takesWork(machine, now)) return false;
+    if (job.held || !job.isWaiting(index) || index >= job.startWatermark) return false;
+    if (machine.tasks.has(taskKey(job.ref, index)) || this.mostStarts(job, machine, free, now) === 0)
+      return false;
+    commands.push(this.start(job, index, machine, now));
+    return true;
+  }
+
+  /** Starts the next task of a job on a machine; false: none can be started there now. */
+  startNext(job: PartitionJob, machine: MachineState, commands: Command[], now: number): boolean {
+    const free = this.host.free(machine);
+    const settled = this.host.unconfirmed === 0;
+    if (!free || !this.takesWork(machine, now) || this.mostStarts(job, machine, free, now) === 0)
+      return false;
+    const index = job
+      .startable(machine.tasks.size + 1, settled, now)
+      .find((i) => !machine.tasks.has(taskKey(job.ref, i)));
+    if (index === undefined) return false;
+    commands.push(this.start(job, index, machine, now));
+    return true;
+  }
+
   /**
    * Starts waiting tasks on a machine that has just reported: first fit in arrival order within an urgency, in two
    * passes. Room first goes to jobs whose image the machine holds, for a fetch costs as much as many a task. Who has
@@ -147,8 +204,8 @@
   }
 
   private fit(job: PartitionJob, machine: MachineState, free: Free, commands: Command[], now: number): void {
-    const n = this.mostStarts(job, machine, free, now);
-    if (n === 0) return;
+    const n = Math.min(this.mostStarts(job, machine, free, now), this.spreadStarts(job, machine, free));
+    if (n <= 0) return;
     for (const index of job.startable(n, this.host.unconfirmed === 0, now)) {
       if (machine.tasks.has(taskKey(job.ref, index))) continue;
       commands.push(this.start(job, index, machine, now));
@@ -156,6 +213,14 @@
     }
   }
 
+  /** How many of them keep the machine as full as the others; one at least while it is emptier than they are. */
+  private spreadStarts({ spec }: PartitionJob, machine: MachineState, free: Free): number {
+    const { spreader } = this.host;
+    if (!spreader) return Number.POSITIVE_INFINITY;
+    const cpus = spreader.allowance(machine, free, spec);
+    return cpus <= 0 ? 0 : Math.max(1, Math.floor(cpus / Math.max(spec.cpus, LEAST_CPUS)));
+  }
+
   /** How many tasks of a job may be started on a machine that has so much free. */
   private mostStarts(job: PartitionJob, machine: MachineState, free: Free, now: number): number {
     const { spec } = job;
@@ -173,7 +238,7 @@
   private start(job: PartitionJob, index: number, machine: MachineState, now: number): Command {
     const { spec } = job;
     const attempt = this.host.version * ATTEMPTS_PER_INCARNATION + ++this.attempts;
-    const command = machine.start(spec, index, attempt);
+    const command = machine.start(spec, index, attempt, now);
     machine.images.add(spec.image);
     machine.idleSince = now;
     job.goesOut(index, machine);
--- a/src/protocol/peers.ts
+++ b/src/protocol/peers.ts
@@ -1,4 +1,5 @@
 import avro from 'avsc';
+import type { LoadSummary } from '@heathbridge/load-balancer';
 
 /** What waiting tasks of one shape ask for. */
 export interface Demand {
@@ -93,7 +94,9 @@
    */
   | { kind: 'move'; machine: string; toPartition: string; drain: boolean }
   | { kind: 'retire'; machine: string; why: string; force: boolean }
-  | { kind: 'handover'; partition: string; to: string };
+  | { kind: 'handover'; partition: string; to: string }
+  /** How the load of a partition stands, where load is balanced. Controllers of earlier versions drop it. */
+  | { kind: 'balance'; summary: LoadSummary };
 
 function record(name: string, fields: Record<string, unknown>): object {
   return {
@@ -140,6 +143,17 @@
   ...{ demands: listOf(demandType), machines: listOf(machineType) },
 });
 const misroutedType = record('MisroutedCount', { partition: text, machines: 'int' });
+const countOf = (name: string, what: string): object => listOf(record(name, { [what]: text, count: 'long' }));
+const summaryType = record('LoadSummary', {
+  ...{ partition: text, epoch: 'long', sequence: 'long', ageMs: amount },
+  ...{ cpus: amount, freeCpus: amount, largestFreeCpus: amount },
+  ...{ running: listOf(amount), waiting: listOf(amount), trendPerS: amount },
+  teams: listOf(record('TeamLoad', { team: text, running: amount, waiting: amount })),
+  moves: record('MoveCounts', {
+    ...{ planned: 'long', begun: 'long', completed: 'long', abandoned: 'long', inFlight: 'long' },
+  }),
+  refusals: countOf('RefusalCount', 'reason'),
+});
 const messages: Record<PeerMessage['kind'], Record<string, unknown>> = {
   status: {
     ...{
@@ -159,6 +173,8 @@
   move: { machine: text, toPartition: text, drain: 'boolean' },
   retire: { machine: text, why: text, force: 'boolean' },
   handover: { partition: text, to: text },
+  // New kinds come last: the kinds before keep their numbers on the wire.
+  balance: { summary: summaryType },
 };
 const type = avro.Type.forSchema(
   Object.entries(messages).map(([kind, fields]) => record(kind, fields)) as unknown as avro.Schema,
--- a/src/service.ts
+++ b/src/service.ts
@@ -4,20 +4,18 @@
 import { DEFAULT_POLICY, loadPolicy, type Policy } from './protocol/policy';
 import { parseSettings, type Settings } from './protocol/settings';
 import { serve } from './coordination/server';
+import { type OptionalFeatures } from './optional-features';
+import { readSettingsFile, refuse } from './settings-files';
 
 export const VERSION = '0.2.0';
-const BAD_SETTINGS = 2;
 
 export interface ServiceOptions {
   config: string;
   policy?: string;
+  features?: string;
 }
 
-/** Ends the program with the code for bad settings and one line that says why. */
-export function refuse(reason: string): never {
-  process.stderr.write(`heathbridge: ${reason}\n`);
-  process.exit(BAD_SETTINGS);
-}
+const NO_FEATURES: OptionalFeatures = { balancing: null };
 
 /** The platform's settings and the operators' policy; the first thing that is wrong with them ends the start. */
 export function readSettings({ config, policy }: ServiceOptions): { settings: Settings; policy: Policy } {
@@ -27,21 +25,32 @@
   } catch (error) {
     return refuse(`${config}: ${(error as Error).message}`);
   }
-  try {
-    return { settings, policy: policy === undefined ? DEFAULT_POLICY : loadPolicy(policy) };
-  } catch (error) {
-    return refuse((error as Error).message);
-  }
+  return {
+    settings,
+    policy: readSettingsFile(() => (policy === undefined ? DEFAULT_POLICY : loadPolicy(policy))),
+  };
+}
+
+/** What implements features is loaded only where a file switches some on. */
+export async function readFeatures(path: string | undefined): Promise<OptionalFeatures> {
+  if (path === undefined) return NO_FEATURES;
+  const { optionalFeatures } = await import('./optional-features');
+  return optionalFeatures(path, systemClock);
 }
 
 /** Runs a controller for as long as the process lives. */
 export function startService(options: ServiceOptions): void {
   const { settings, policy } = readSettings(options);
+  if (options.features === undefined) run(settings, policy, NO_FEATURES);
+  else void readFeatures(options.features).then((features) => run(settings, policy, features));
+}
+
+function run(settings: Settings, policy: Policy, features: OptionalFeatures): void {
   const log = openLog(settings.member);
   // What gets here is a defect; the process goes on, for its partition would stand still without it.
   process.on('uncaughtException', (error) => log.error({ error: error.stack }, 'uncaught'));
   process.on('unhandledRejection', (error) => log.error({ error: String(error) }, 'unhandled'));
   const teams = settings.teams.map((t) => `${t.name} ${t.guaranteed.cpus}/${t.limit.cpus}`).join(', ');
   log.info({ version: VERSION, teams }, 'starting');
-  serve(settings, policy, systemClock, log);
+  serve(settings, policy, systemClock, log, features.balancing);
 }
--- a/test/partition.test.ts
+++ b/test/partition.test.ts
@@ -86,7 +86,7 @@
   }
 
   close(ref: string, state: JobState): void {
-    this.core.closeJob(ref, state);
+    this.core.closeJob(ref, state, 0);
   }
 
   report(id: string, now: number, tasks: ReportedTask[] = [], change: Partial<Report> = {}): Command[] {
@@ -344,7 +344,7 @@
     (b) => {
       b.machine('m', FRESH);
       b.job(spec('job-1'));
-      b.core.dropMachine('m');
+      b.core.dropMachine('m', 0);
       b.unassigned('m', FRESH);
       assert.deepEqual(starts(b.report('m', 0)), []);
       assert.deepEqual(b.core.unassigned(), ['m']);
@@ -585,7 +585,7 @@
       b.job(spec('job-1', { tasks: 2 }));
       b.report('m', 0);
       assert.deepEqual(starts(b.report('n', 0)), []);
-      b.core.dropMachine('m');
+      b.core.dropMachine('m', 0);
       assert.equal(starts(b.report('n', 2000)).length, 2);
     },
   ],
--- a/test/standin/fleet.ts
+++ b/test/standin/fleet.ts
@@ -14,6 +14,8 @@
   exit_reason?: string;
   saved?: boolean;
   timer?: unknown;
+  /** When it began to run here. */
+  began?: number;
 }
 
 export interface FleetHooks {
@@ -23,6 +25,12 @@
   /** A lease ran out, and with it everything on the machine. */
   expired: () => void;
   runMs: (piece: string) => number;
+  /** Time until a task's image is on a machine. */
+  fetchMs?: (machine: Worker, piece: string) => number;
+  /** Time that a task needs to save when it is stopped; null: it never saves. */
+  saveMs?: (piece: string) => number | null;
+  /** A task was stopped after it had run so long here; `saved`: it goes on from there. */
+  stopped?: (piece: string, ranMs: number, saved: boolean) => void;
   /** Brings a report to a controller; null: no answer in time. */
   deliver: (node: number, worker: Worker, report: object) => Promise<HttpAnswer | null>;
   nodeIndex: (name: string) => number | null;
@@ -152,7 +160,7 @@
     }
     if (order.order === 'kill') {
       if (known && known.try === order.try && known.status !== 'ended')
-        this.exit(order.piece, known, 'stopped');
+        this.stop(order.piece, known, order.wind_down_s ?? 0);
       return;
     }
     if (known && known.status !== 'ended') return;
@@ -160,7 +168,8 @@
     const piece: Piece = { try: order.try, status: 'pulling' };
     this.pieces.set(order.piece, piece);
     this.dueSoon = true;
-    piece.timer = this.time.at(this.time.now + 700, () => this.begin(order.piece, piece));
+    const fetchMs = this.hooks.fetchMs?.(this, order.piece) ?? FETCH_MS;
+    piece.timer = this.time.at(this.time.now + fetchMs, () => this.begin(order.piece, piece));
   }
 
   private begin(name: string, piece: Piece): void {
@@ -169,6 +178,7 @@
       return;
     }
     piece.status = 'running';
+    piece.began = this.time.now;
     this.hooks.began(this, name);
     this.dueSoon = true;
     const finish = (): void => {
@@ -178,7 +188,26 @@
     piece.timer = this.time.at(this.time.now + (this.sick ? 300 : this.hooks.runMs(name)), finish);
   }
 
+  /** A running task that can save does so if it is given the time; anything else ends at once. */
+  private stop(name: string, piece: Piece, windDownS: number): void {
+    const saveMs = this.hooks.saveMs?.(name) ?? null;
+    if (piece.status === 'flushing' && windDownS > 0) return;
+    if (piece.status !== 'running' || saveMs === null || saveMs > windDownS * 1000)
+      return this.exit(name, piece, 'stopped');
+    this.time.cancel(piece.timer);
+    piece.status = 'flushing';
+    this.dueSoon = true;
+    const ranMs = this.time.now - (piece.began ?? this.time.now);
+    piece.timer = this.time.at(this.time.now + saveMs, () => {
+      piece.saved = true;
+      this.hooks.stopped?.(name, ranMs, true);
+      this.exit(name, piece, 'stopped');
+    });
+  }
+
   private exit(name: string, piece: Piece, reason: string): void {
+    const ranMs = piece.status === 'running' ? this.time.now - (piece.began ?? this.time.now) : 0;
+    if (reason === 'stopped' && ranMs > 0) this.hooks.stopped?.(name, ranMs, false);
     if (piece.timer) this.time.cancel(piece.timer);
     piece.status = 'ended';
     piece.exit_reason = reason;
@@ -187,6 +216,9 @@
   }
 }
 
+/** Time that an image takes unless a hook says otherwise. */
+const FETCH_MS = 700;
+
 export interface Kind {
   label: string;
   cpus: number;
--- /dev/null
+++ b/test/standin/http-front.ts
@@ -0,0 +1,62 @@
+import { createServer, request, type Agent, type IncomingMessage, type Server } from 'node:http';
+import { type HttpAnswer } from '../../src/transport/http-client';
+
+/** How a stand-in answers one request. */
+export type RequestHandler = (method: string, path: string, body: unknown) => Promise<HttpAnswer>;
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return chunks.length === 0 ? undefined : (JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown);
+}
+
+/** Serves a stand-in over HTTP on the loopback interface. */
+export function serveStandin(port: number, handle: RequestHandler): Server {
+  const server = createServer((request, response) => {
+    void readBody(request)
+      .then((body) => handle(request.method ?? 'GET', request.url ?? '/', body))
+      .then(({ status, body }) => {
+        const text = JSON.stringify(body);
+        const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
+        response.writeHead(status, headers).end(text);
+      });
+  });
+  server.keepAliveTimeout = 120_000;
+  return server.listen(port, '127.0.0.1');
+}
+
+/** One HTTP request on a kept connection; null: no answer in time. */
+export function post(
+  agent: Agent,
+  port: number,
+  path: string,
+  body: object,
+  method: string,
+  timeoutMs: number,
+): Promise<HttpAnswer | null> {
+  return new Promise((resolve) => {
+    const payload = method === 'POST' ? JSON.stringify(body) : '';
+    const headers = method === 'POST' ? { 'content-length': Buffer.byteLength(payload) } : {};
+    const outgoing = request({
+      agent,
+      host: '127.0.0.1',
+      port,
+      method,
+      path,
+      headers,
+      timeout: timeoutMs,
+    });
+    outgoing.on('response', (incoming) => {
+      const chunks: Buffer[] = [];
+      incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+      incoming.on('end', () => {
+        const text = Buffer.concat(chunks).toString('utf8');
+        resolve({ status: incoming.statusCode ?? 0, body: JSON.parse(text || '{}') as unknown });
+      });
+    });
+    outgoing.on('timeout', () => outgoing.destroy());
+    outgoing.on('error', () => resolve(null));
+    outgoing.on('close', () => resolve(null));
+    outgoing.end(payload);
+  });
+}
--- /dev/null
+++ b/test/standin/loopback.ts
@@ -0,0 +1,158 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type AddressInfo, type Server } from 'node:net';
+import { Agent } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { type HttpAnswer } from '../../src/transport/http-client';
+import { StandinCloud, type FleetHooks, type Worker } from './fleet';
+import { post, serveStandin } from './http-front';
+import { RealTime } from './real-time';
+import { StandinStore } from './store';
+
+const MACHINE = { label: 'small', cpus: 4, memory: 16 };
+const ANSWER_WITHIN_MS = 4000;
+const PAGE = 1000;
+const BOOT_MS = 2000;
+const LIST_LAG_MS = 1000;
+
+/** Controllers as real processes on the loopback interface, with stand-ins for all else. */
+export interface LoopbackOptions {
+  controllers: number;
+  machines: number;
+  reportMs: number;
+  leaseMs: number;
+  teams: { name: string; cpus: number; cpus_max: number }[];
+  /** A file of features; null: none. */
+  features: string | null;
+  hooks: Pick<FleetHooks, 'began' | 'completed' | 'runMs' | 'saveMs' | 'stopped'>;
+}
+
+/** Ports that nobody listens on now. */
+async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.once('listening', resolve))));
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
+
+/** A cluster of real controllers. */
+export class LoopbackCluster {
+  readonly cloud: StandinCloud;
+  private readonly time = new RealTime();
+  private readonly store = new StandinStore(this.time, PAGE);
+  private readonly agents = new Map<string, Agent>();
+  private readonly running = new Map<number, ChildProcess>();
+  private readonly folder = mkdtempSync(join(tmpdir(), 'heathbridge-'));
+  private readonly servers: Server[] = [];
+  private over = false;
+
+  private constructor(
+    private readonly options: LoopbackOptions,
+    private readonly ports: number[],
+  ) {
+    const hooks: FleetHooks = {
+      ...options.hooks,
+      expired: () => undefined,
+      deliver: (node, worker, report) => this.deliver(node, worker, report),
+      nodeIndex: (name) => Number(name.split('-')[1]),
+      nodes: options.controllers,
+      reportMs: options.reportMs,
+      leaseMs: options.leaseMs,
+    };
+    this.cloud = new StandinCloud(
+      this.time,
+      hooks,
+      [MACHINE],
+      ['a', 'b'],
+      options.machines,
+      LIST_LAG_MS,
+      BOOT_MS,
+      PAGE,
+    );
+    for (let i = 0; i < options.machines; i++) this.cloud.open(MACHINE.label, 'a', true, 0);
+  }
+
+  static async start(options: LoopbackOptions): Promise<LoopbackCluster> {
+    const cluster = new LoopbackCluster(options, await freePorts(2 + 2 * options.controllers));
+    const [store = 0, cloud = 0] = cluster.ports;
+    cluster.servers.push(
+      serveStandin(store, (method, path, body) => cluster.store.request(method, path, body, () => false)),
+      serveStandin(cloud, (method, path, body) => cluster.cloud.request(method, path, body)),
+    );
+    for (let i = 0; i < options.controllers; i++) cluster.startController(i);
+    return cluster;
+  }
+
+  private port(index: number, offset: number): number {
+    return this.ports[2 + 2 * index + offset] ?? 0;
+  }
+
+  private settings(index: number): object {
+    const { controllers, teams, reportMs, leaseMs } = this.options;
+    const others = Array.from({ length: controllers }, (_, i) => i).filter((i) => i !== index);
+    const address = (i: number, offset: number): string => `127.0.0.1:${this.port(i, offset)}`;
+    return {
+      member: `velodrome-${index}`,
+      site: 'a',
+      serve_on: address(index, 0),
+      cluster_listen: address(index, 1),
+      peers: others.map((i) => ({ member: `velodrome-${i}`, addr: address(i, 1) })),
+      external: { cloud: `127.0.0.1:${this.ports[1]}`, state: `127.0.0.1:${this.ports[0]}` },
+      facts: {
+        teams,
+        workers: { report_s: reportMs / 1000, lease_s: leaseMs / 1000, cancel_s: leaseMs / 1000 + 15 },
+        state: { rps: 200, write_rps: 40, value_kb: 16, txn_ops: 24 },
+        cloud: { rps: 8, list_lag_s: LIST_LAG_MS / 1000 },
+      },
+    };
+  }
+
+  startController(index: number): void {
+    if (this.over) return;
+    const config = join(this.folder, `settings-${index}.json`);
+    writeFileSync(config, JSON.stringify(this.settings(index)));
+    const program = join(__dirname, '..', '..', 'src', 'main.js');
+    const { features } = this.options;
+    const words = [program, ...(features === null ? [] : ['--features', features]), '--config', config];
+    const env = { ...process.env, LOG_LEVEL: 'error' };
+    this.running.set(index, spawn(process.execPath, words, { env, stdio: ['ignore', 'ignore', 'inherit'] }));
+  }
+
+  /** Ends a controller with no signal that it could act on. */
+  endController(index: number): void {
+    this.running.get(index)?.kill('SIGKILL');
+  }
+
+  /** Asks a controller; null: no answer in time. */
+  ask(index: number, path: string, body: object, method: string): Promise<HttpAnswer | null> {
+    return post(this.agent(`users-${index}`), this.port(index, 0), path, body, method, ANSWER_WITHIN_MS);
+  }
+
+  /** Where a controller answers users. */
+  address(index: number): string {
+    return `127.0.0.1:${this.port(index, 0)}`;
+  }
+
+  private deliver(node: number, worker: Worker, report: object): Promise<HttpAnswer | null> {
+    return post(this.agent(worker.name), this.port(node, 0), '/hello', report, 'POST', ANSWER_WITHIN_MS);
+  }
+
+  private agent(name: string): Agent {
+    const known = this.agents.get(name);
+    if (known) return known;
+    const agent = new Agent({ keepAlive: true, maxSockets: name.startsWith('users') ? 20 : 1 });
+    this.agents.set(name, agent);
+    return agent;
+  }
+
+  stop(): void {
+    this.over = true;
+    for (const name of [...this.cloud.workers.keys()]) this.cloud.take(name);
+    for (const process of this.running.values()) process.kill('SIGKILL');
+    for (const server of this.servers) server.close();
+    for (const agent of this.agents.values()) agent.destroy();
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+}
--- a/tools/load/real-time.ts
+++ b/test/standin/real-time.ts
@@ -1,4 +1,4 @@
-import { type StandinTime } from '../../test/standin/clock';
+import { type StandinTime } from './clock';
 
 /** The stand-ins' time as it really passes. */
 export class RealTime implements StandinTime {
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -4,6 +4,8 @@
 import { reportAnswer, redirectAnswer, parseReport } from '../../src/protocol/workers';
 import { DEFAULT_POLICY } from '../../src/protocol/policy';
 import { parseSettings } from '../../src/protocol/settings';
+import { type Clock } from '../../src/transport/clock';
+import { type Balancing } from '../../src/coordination/balancing';
 import { Controller } from '../../src/coordination/controller';
 import { type UserAnswer } from '../../src/coordination/runs';
 import { VirtualTime, settle } from './clock';
@@ -24,7 +26,33 @@
   stillUntil: number;
 }
 
+/** What a job asks for where it is not left to chance. */
+export interface JobShape {
+  crew: string;
+  pieces: number;
+  cpus: number;
+  urgency: string;
+  /** How long each task really runs. */
+  runMs: number;
+  /** What its owner expects. */
+  expectedS: number;
+  /** Interval of checkpoints, 0: it never saves. */
+  checkpointS: number;
+  saveS: number;
+  build: string;
+  imageGb: number;
+}
+
+/** Told of what happens to tasks, for measurements. */
+export interface TaskWatcher {
+  submitted(ref: string, shape: JobShape, at: number): void;
+  began(piece: string, at: number): void;
+  completed(piece: string, at: number): void;
+  stopped(piece: string, ranMs: number, saved: boolean): void;
+}
+
 interface UserJob {
+  shape: JobShape | null;
   ref: string;
   crew: string;
   pieces: number;
@@ -57,6 +85,12 @@
   longerMs?: number;
   /** Some jobs are bound to a zone, or must be apart. */
   bound?: boolean;
+  kinds?: typeof KINDS;
+  /** Machines that are up from the start. */
+  first?: { kind: string; count: number }[];
+  watcher?: TaskWatcher;
+  /** Load is balanced by this. */
+  balancing?: (clock: Clock) => Balancing;
 }
 
 const SMALL: Scale = { nodes: 3, capacity: 10, teams: 1 };
@@ -130,6 +164,10 @@
   /** When all troubles are over. */
   calmFrom = Number.POSITIVE_INFINITY;
   private lives = 0;
+  /** What stopped tasks have saved of their run time. */
+  private readonly savedMs = new Map<string, number>();
+  /** When each machine has each image. */
+  private readonly images = new Map<string, Map<string, number>>();
   private readonly keptCopies: { worker: Worker; report: object }[] = [];
   private leaderNow = -1;
   private random: prand.RandomGenerator;
@@ -143,16 +181,20 @@
       began: (worker, piece) => this.began(worker, piece),
       completed: (piece) => this.hasCompleted(piece),
       expired: () => this.leasesLost++,
-      runMs: (piece) =>
-        (scale.longerMs ?? 0) + 2000 + ((piece.length * 7919 + Number(piece.split('/')[1]) * 104_729) % 9000),
+      runMs: (piece) => this.runMs(piece),
+      saveMs: (piece) => this.saveMs(piece),
+      stopped: (piece, ranMs, saved) => this.stopped(piece, ranMs, saved),
+      fetchMs: (worker, piece) => this.fetchMs(worker, piece),
       deliver: (node, worker, report) => this.deliver(node, worker, report),
       nodeIndex: (name) => Number(name.split('-')[1]),
       nodes: scale.nodes,
       reportMs: 2000,
       leaseMs: LEASE_MS,
     };
-    this.cloud = new StandinCloud(this.time, hooks, KINDS, ['a', 'b'], scale.capacity, 3000, 5000);
-    for (let i = 0; i < 3; i++) this.cloud.open('small', i === 0 ? 'a' : 'b', false, 0);
+    const kinds = scale.kinds ?? KINDS;
+    this.cloud = new StandinCloud(this.time, hooks, kinds, ['a', 'b'], scale.capacity, 3000, 5000);
+    for (const { kind, count } of scale.first ?? [{ kind: 'small', count: 3 }])
+      for (let i = 0; i < count; i++) this.cloud.open(kind, i === 0 ? 'a' : 'b', false, 0);
     for (let i = 0; i < scale.nodes; i++) {
       this.nodes.push({
         controller: null,
@@ -209,6 +251,7 @@
         store: { call },
         watch: { call },
         life: `velodrome-${i}-${++this.lives}`,
+        balancing: this.scale.balancing?.(this.time.clock(isUp)) ?? null,
         cloud: {
           call: (method, path, body, timeoutMs) =>
             this.overNetwork(timeoutMs, node, isUp, () => this.cloud.request(method, path, body)),
@@ -336,6 +379,7 @@
   /** The rules, checked at the only moment at which they can be broken: when a task begins. */
   private began(worker: Worker, piece: string): void {
     this.started++;
+    this.scale.watcher?.began(piece, this.time.now);
     const job = this.spec(piece);
     if (!job) return void this.broken.push(`unknown: ${piece}`);
     const others = [...this.cloud.workers.values()].filter((w) => w !== worker);
@@ -398,60 +442,97 @@
     if (job?.accepted && !job.asked) this.cancel(job);
   }
 
-  /** A user submits a job to any node that is up, until one accepts it, then polls; some cancel. */
-  submit(n: number, tasks?: number): void {
-    const team = TEAMS[this.pick(TEAMS.length)] as (typeof TEAMS)[number];
+  private runMs(piece: string): number {
+    const shape = this.spec(piece)?.shape;
+    if (shape) return Math.max(200, shape.runMs - (this.savedMs.get(piece) ?? 0));
+    const odd = (piece.length * 7919 + Number(piece.split('/')[1]) * 104_729) % 9000;
+    return (this.scale.longerMs ?? 0) + 2000 + odd;
+  }
+
+  private saveMs(piece: string): number | null {
+    const shape = this.spec(piece)?.shape;
+    return shape && shape.checkpointS > 0 ? shape.saveS * 1000 : null;
+  }
+
+  private stopped(piece: string, ranMs: number, saved: boolean): void {
+    if (saved) this.savedMs.set(piece, (this.savedMs.get(piece) ?? 0) + ranMs);
+    this.scale.watcher?.stopped(piece, ranMs, saved);
+  }
+
+  /** A shaped job's image is fetched once by each machine; other images take a moment. */
+  private fetchMs(worker: Worker, piece: string): number {
+    const shape = this.spec(piece)?.shape;
+    if (!shape) return 700;
+    const images = this.images.get(worker.name) ?? new Map<string, number>();
+    this.images.set(worker.name, images);
+    const readyAt = images.get(shape.build) ?? this.time.now + shape.imageGb * 1000;
+    images.set(shape.build, readyAt);
+    return Math.max(100, readyAt - this.time.now);
+  }
+
+  /** A user submits a job of this shape, until it is accepted, and asks for it from then on. */
+  submitShaped(n: number, shape: JobShape): void {
+    const job = this.newJob(n, shape.crew, shape.pieces, shape.cpus);
+    job.shape = shape;
+    job.loaners = true;
+    this.scale.watcher?.submitted(job.ref, shape, this.time.now);
+    this.bring(job, {
+      ...{ urgency: shape.urgency, build: shape.build, image_gb: shape.imageGb },
+      ...{
+        expected_s: shape.expectedS,
+        snapshot_every_s: shape.checkpointS,
+        snapshot_s: shape.saveS,
+        due_s: null,
+      },
+    });
+  }
+
+  /** Whether all tasks of a job have completed. */
+  isComplete(ref: string): boolean {
+    const pieces = this.jobs.find((job) => job.ref === ref)?.pieces ?? 0;
+    return Array.from({ length: pieces }, (_, i) => `${ref}/${i}`).every((piece) =>
+      this.completed.has(piece),
+    );
+  }
+
+  /** What a task takes. */
+  cpusOf(piece: string): number {
+    return this.spec(piece)?.cpus ?? 0;
+  }
+
+  private newJob(n: number, crew: string, pieces: number, cpus: number): UserJob {
     const job: UserJob = {
-      ref: `job-${String(n).padStart(6, '0')}`,
-      crew: team.name,
-      pieces: tasks ?? 1 + this.pick(this.pick(8) === 0 ? 30 : 12),
-      cpus: 1 + this.pick(2),
-      loaners: this.pick(4) > 0,
-      together: this.pick(3) === 0,
-      apart: false,
-      yard: null,
-      body: {},
-      accepted: false,
-      final: null,
-      cancelledAt: null,
-      reported: false,
-      asked: false,
-      told: null,
+      ...{ ref: `job-${String(n).padStart(6, '0')}`, crew, pieces, cpus, shape: null },
+      ...{ loaners: false, together: false, apart: false, yard: null, body: {} },
+      ...{ accepted: false, final: null, cancelledAt: null, reported: false, asked: false, told: null },
       answeredAt: this.time.now,
     };
+    this.jobs.push(job);
+    return job;
+  }
+
+  /** A user submits a job to any node that is up, until one accepts it, then polls; some cancel. */
+  submit(n: number, tasks?: number): void {
+    const team = TEAMS[this.pick(TEAMS.length)] as (typeof TEAMS)[number];
+    const pieces = tasks ?? 1 + this.pick(this.pick(8) === 0 ? 30 : 12);
+    const job = this.newJob(n, team.name, pieces, 1 + this.pick(2));
+    job.loaners = this.pick(4) > 0;
+    job.together = this.pick(3) === 0;
     if (this.scale.bound && !job.together) {
       job.apart = this.pick(2) === 0;
       job.yard = job.apart || this.pick(2) === 0 ? null : 'a';
     }
-    this.jobs.push(job);
-    const { ref, crew, pieces, cpus, loaners, together } = job;
+    const urgency = this.pick(2) ? 'normal' : 'urgent';
+    const plain = { expected_s: 6, snapshot_every_s: 0, snapshot_s: 0, due_s: null };
+    this.bring(job, { urgency, build: `img-${this.pick(2)}`, image_gb: 1, ...plain });
+  }
+
+  private bring(job: UserJob, rest: object): void {
+    const { ref, crew, pieces, cpus, loaners, together, apart, yard } = job;
     const body = {
-      ...{
-        ref,
-        workload: 'w',
-        crew,
-        shape: 'sweep',
-        urgency: this.pick(2) ? 'normal' : 'urgent',
-        pieces,
-        cpus,
-      },
-      ...{
-        accelerators: 0,
-        memory_gb: 2,
-        build: `img-${this.pick(2)}`,
-        image_gb: 1,
-        models: null,
-        yard: job.yard,
-      },
-      ...{
-        together,
-        apart: job.apart,
-        loaners,
-        expected_s: 6,
-        snapshot_every_s: 0,
-        snapshot_s: 0,
-        due_s: null,
-      },
+      ...{ ref, workload: 'w', crew, shape: 'sweep', pieces, cpus, accelerators: 0, memory_gb: 2 },
+      ...{ models: null, yard, together, apart, loaners },
+      ...rest,
     };
     job.body = body;
     const attempt = (): void => {
@@ -462,7 +543,8 @@
           return void this.time.at(this.time.now + 1000, attempt);
         job.accepted = true;
         this.poll(job);
-        if (this.pick(6) === 0) this.time.at(this.time.now + this.pick(15_000), () => this.cancel(job));
+        if (!job.shape && this.pick(6) === 0)
+          this.time.at(this.time.now + this.pick(15_000), () => this.cancel(job));
       });
     };
     attempt();
@@ -470,6 +552,7 @@
 
   private hasCompleted(piece: string): void {
     this.completed.add(piece);
+    this.scale.watcher?.completed(piece, this.time.now);
     const job = this.spec(piece);
     if (!this.meetEnds || !job || job.final !== null) return;
     for (let i = 0; i < job.pieces; i++) if (!this.completed.has(`${job.ref}/${i}`)) return;
--- /dev/null
+++ b/tools/balance/main.ts
@@ -0,0 +1,64 @@
+/**
+ * Plays the same virtual days with load balancing off and on, over seeds, and writes what they came to as one self-contained
+ * HTML report. CONTRIBUTING.md has the recipe.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { dirname } from 'node:path';
+import { Command } from 'commander';
+import { playBalanceDay, type BalanceDayResult } from '../../test/standin/balance-day';
+import { planningCosts } from './planning-cost';
+import { renderReport } from './report';
+
+interface Options {
+  seeds: string;
+  machines: string;
+  minutes: string;
+  out: string;
+}
+
+/** A way of running the service that is compared. */
+export interface Variant {
+  name: string;
+  balancing: object | null;
+}
+
+/** The days of one variant, one a seed. */
+export interface VariantDays {
+  variant: Variant;
+  days: BalanceDayResult[];
+}
+
+const VARIANTS: Variant[] = [
+  { name: 'off', balancing: null },
+  { name: 'on, packed', balancing: {} },
+  { name: 'on, even', balancing: { placement: 'even' } },
+];
+
+async function run({ seeds, machines, minutes, out }: Options): Promise<void> {
+  const compared: VariantDays[] = VARIANTS.map((variant) => ({ variant, days: [] }));
+  for (let seed = 1; seed <= Number(seeds); seed++) {
+    for (const { variant, days } of compared) {
+      const { balancing } = variant;
+      const day = await playBalanceDay({
+        ...{ seed, balancing, machines: Number(machines), minutes: Number(minutes), crashAtMs: null },
+      });
+      if (day.broken.length > 0) throw new Error(`seed ${seed}, ${variant.name}: ${day.broken[0]}`);
+      days.push(day);
+      console.log(`seed ${seed}, ${variant.name}: ${day.finished} of ${day.jobs} jobs`);
+    }
+  }
+  const report = renderReport(compared, planningCosts());
+  for (const line of report.lines) console.log(line);
+  mkdirSync(dirname(out), { recursive: true });
+  writeFileSync(out, report.html);
+  console.log(`report: ${out}`);
+}
+
+const program = new Command('balance')
+  .description('Compares days with and without load balancing, under virtual time.')
+  .option('--seeds <n>', 'how many days of each kind', '8')
+  .option('--machines <n>', 'machines of the fleet', '20')
+  .option('--minutes <n>', 'for how long jobs are submitted', '8')
+  .option('--out <file>', 'the report', 'target-test/balance/report.html');
+program.parse();
+void run(program.opts<Options>());
--- /dev/null
+++ b/tools/balance/report.ts
@@ -0,0 +1,140 @@
+import * as echarts from 'echarts';
+import { quantile, type BalanceDayResult } from '../../test/standin/balance-day';
+import { type VariantDays } from './main';
+import { type PlanningCost } from './planning-cost';
+
+/** A report, and its figures as lines of text. */
+export interface Report {
+  html: string;
+  lines: string[];
+}
+
+const WIDTH = 900;
+const HEIGHT = 360;
+const SPREAD_BIN_MS = 10_000;
+
+interface Figure {
+  name: string;
+  of: (day: BalanceDayResult) => number;
+}
+
+const FIGURES: Figure[] = [
+  { name: 'urgent wait p50, s', of: (day) => quantile(day.waits.get('urgent') ?? [], 0.5) },
+  { name: 'urgent wait p95, s', of: (day) => quantile(day.waits.get('urgent') ?? [], 0.95) },
+  { name: 'idle wait p50, s', of: (day) => quantile(day.waits.get('idle') ?? [], 0.5) },
+  { name: 'idle wait p95, s', of: (day) => quantile(day.waits.get('idle') ?? [], 0.95) },
+  { name: 'spread (CV of CPUs in use)', of: (day) => mean(day.spread.map(({ value }) => value)) },
+  { name: 'task moves made', of: (day) => day.moves.completed },
+  { name: 'task moves given up', of: (day) => day.moves.abandoned },
+  { name: 'machine moves', of: (day) => day.machineMoves.allowed },
+  { name: 'work lost, s', of: (day) => day.lostS },
+  { name: 'jobs finished', of: (day) => day.finished },
+  { name: 'processor time of the whole day, ms', of: (day) => day.cpuMs },
+];
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
+function deviation(values: readonly number[]): number {
+  const m = mean(values);
+  return Math.sqrt(mean(values.map((value) => (value - m) ** 2)));
+}
+
+function plot(title: string, option: echarts.EChartsOption): string {
+  const chart = echarts.init(null, null, { renderer: 'svg', ssr: true, width: WIDTH, height: HEIGHT });
+  chart.setOption({
+    animation: false,
+    title: { text: title, left: 'center' },
+    legend: { top: 28 },
+    ...option,
+  });
+  const svg = chart.renderToSVGString();
+  chart.dispose();
+  return svg;
+}
+
+function waitsPlot(compared: readonly VariantDays[], urgency: string): string {
+  const shares = [0.5, 0.75, 0.9, 0.95, 0.99];
+  return plot(`Seconds until a task of '${urgency}' begins`, {
+    xAxis: { type: 'category', data: shares.map((share) => `p${share * 100}`) },
+    yAxis: { type: 'value', name: 's' },
+    series: compared.map(({ variant, days }) => {
+      const waits = days.flatMap((day) => day.waits.get(urgency) ?? []);
+      const data = shares.map((share) => Math.round(quantile(waits, share) * 10) / 10);
+      return { name: variant.name, type: 'bar' as const, data };
+    }),
+  });
+}
+
+function spreadPlot(compared: readonly VariantDays[]): string {
+  return plot('Spread over time: coefficient of variation of CPUs in use, mean of the seeds', {
+    xAxis: { type: 'value', name: 's' },
+    yAxis: { type: 'value' },
+    series: compared.map(({ variant, days }) => {
+      const bins = new Map<number, number[]>();
+      for (const { atMs, value } of days.flatMap((day) => day.spread)) {
+        const bin = Math.floor(atMs / SPREAD_BIN_MS);
+        bins.set(bin, [...(bins.get(bin) ?? []), value]);
+      }
+      const data = [...bins].sort(([a], [b]) => a - b);
+      return {
+        name: variant.name,
+        type: 'line' as const,
+        showSymbol: false,
+        data: data.map(([bin, values]) => [(bin * SPREAD_BIN_MS) / 1000, mean(values)]),
+      };
+    }),
+  });
+}
+
+function costPlot(costs: readonly PlanningCost[]): string {
+  const series = (name: string, of: (cost: PlanningCost) => number): echarts.SeriesOption => ({
+    name,
+    type: 'scatter',
+    data: costs.map((cost) => [cost.tasks, of(cost)]),
+  });
+  return plot('What a round costs, by tasks of the partition (the dearest case)', {
+    xAxis: { type: 'value', name: 'tasks' },
+    yAxis: { type: 'value', name: 'ms' },
+    series: [series('planning', (cost) => cost.planMs), series('summary', (cost) => cost.summaryMs)],
+  });
+}
+
+/** Renders what was measured; the plots are SVG in the page itself. */
+export function renderReport(compared: readonly VariantDays[], costs: readonly PlanningCost[]): Report {
+  const header = ['figure', ...compared.map(({ variant }) => variant.name)];
+  const rows = FIGURES.map(({ name, of }) => [
+    name,
+    ...compared.map(({ days }) => {
+      const values = days.map(of);
+      return `${mean(values).toFixed(2)} ± ${deviation(values).toFixed(2)}`;
+    }),
+  ]);
+  const costHeader = ['machines', 'tasks', 'planning, ms', 'summary, ms'];
+  const costRows = costs.map(({ machines, tasks, planMs, summaryMs }) => [
+    ...[`${machines}`, `${tasks}`, planMs.toFixed(1), summaryMs.toFixed(1)],
+  ]);
+  const plots = [
+    spreadPlot(compared),
+    waitsPlot(compared, 'urgent'),
+    waitsPlot(compared, 'idle'),
+    costPlot(costs),
+  ];
+  const seeds = compared[0]?.days.length ?? 0;
+  return {
+    lines: [header, ...rows, costHeader, ...costRows].map((cells) => `| ${cells.join(' | ')} |`),
+    html: `<!doctype html><html lang="en"><meta charset="utf-8"><title>Load balancing off and on</title>
+<body style="font-family: sans-serif; max-width: 60em; margin: auto">
+<h1>Load balancing off and on</h1>
+<p>${seeds} days of each kind under virtual time, with stand-ins for all machines. Mean and standard deviation over the seeds.</p>
+${table(header, rows)}${plots.join('\n')}${table(costHeader, costRows)}</body></html>\n`,
+  };
+}
+
+function table(header: readonly string[], rows: readonly (readonly string[])[]): string {
+  const line = (cells: readonly string[], tag: string): string =>
+    `<tr>${cells.map((cell) => `<${tag}>${cell}</${tag}>`).join('')}</tr>`;
+  const body = rows.map((row) => line(row, 'td')).join('\n');
+  return `<table border="1" cellpadding="4" style="border-collapse: collapse">${line(header, 'th')}\n${body}</table>\n`;
+}
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -9,7 +9,11 @@
 const root = join(import.meta.dirname, '..');
 // What a start does not need is kept out of the main file, to be read only when it is asked for.
 const libraries = ['fengari', 'hdr-histogram-js'];
-const modules = { './coordination/gateway': 'gateway', './command-line': 'command-line' };
+const modules = {
+  './coordination/gateway': 'gateway',
+  './command-line': 'command-line',
+  './optional-features': 'optional-features',
+};
 const common = {
   bundle: true,
   minify: true,
@@ -28,7 +32,7 @@
 const keepApart = {
   name: 'keep-apart',
   setup(build) {
-    const filter = new RegExp(`^(${libraries.join('|')})$|/(gateway|command-line)$`);
+    const filter = new RegExp(`^(${libraries.join('|')})$|/(gateway|command-line|optional-features)$`);
     build.onResolve({ filter }, ({ path, kind, importer }) => {
       if (libraries.includes(path)) return { path: `./${path}.js`, external: true };
       const name = path.split('/').pop();
--- a/tools/load/main.ts
+++ b/tools/load/main.ts
@@ -4,7 +4,7 @@
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
-import { Agent, request } from 'node:http';
+import { Agent } from 'node:http';
 import { type Profiler } from 'node:inspector';
 import { join } from 'node:path';
 import { Command } from 'commander';
@@ -12,8 +12,8 @@
 import { StandinCloud, type FleetHooks, type Worker } from '../../test/standin/fleet';
 import { StandinStore } from '../../test/standin/store';
 import { attribute } from './attribution';
-import { serveStandin } from './http-front';
-import { RealTime } from './real-time';
+import { post, serveStandin } from '../../test/standin/http-front';
+import { RealTime } from '../../test/standin/real-time';
 import { type Recording } from './recorder';
 import { LoadUsers } from './users';
 
@@ -50,41 +50,6 @@
   process: ChildProcess;
 }
 
-/** One HTTP request on a kept connection; null: no answer in time. */
-function post(
-  agent: Agent,
-  port: number,
-  path: string,
-  body: object,
-  method = 'POST',
-): Promise<HttpAnswer | null> {
-  return new Promise((resolve) => {
-    const payload = method === 'POST' ? JSON.stringify(body) : '';
-    const headers = method === 'POST' ? { 'content-length': Buffer.byteLength(payload) } : {};
-    const outgoing = request({
-      agent,
-      host: '127.0.0.1',
-      port,
-      method,
-      path,
-      headers,
-      timeout: ANSWER_WITHIN_MS,
-    });
-    outgoing.on('response', (incoming) => {
-      const chunks: Buffer[] = [];
-      incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
-      incoming.on('end', () => {
-        const text = Buffer.concat(chunks).toString('utf8');
-        resolve({ status: incoming.statusCode ?? 0, body: JSON.parse(text || '{}') as unknown });
-      });
-    });
-    outgoing.on('timeout', () => outgoing.destroy());
-    outgoing.on('error', () => resolve(null));
-    outgoing.on('close', () => resolve(null));
-    outgoing.end(payload);
-  });
-}
-
 function settingsOf(index: number, controllers: number, machines: number): object {
   const addressOf = (i: number, offset: number): string => `127.0.0.1:${FIRST_PORT + 2 * i + offset}`;
   const others = Array.from({ length: controllers }, (_, i) => i).filter((i) => i !== index);
@@ -140,7 +105,14 @@
     for (let i = 0; i < machines; i++) this.cloud.open(KIND.label, zones[i % 2] as string, true, 0);
     const ask = (path: string, body: object, method: string): Promise<HttpAnswer | null> => {
       const index = Math.floor(Math.random() * Number(options.controllers));
-      return post(this.agentOf(`users-${index}`), FIRST_PORT + 2 * index, path, body, method);
+      return post(
+        this.agentOf(`users-${index}`),
+        FIRST_PORT + 2 * index,
+        path,
+        body,
+        method,
+        ANSWER_WITHIN_MS,
+      );
     };
     this.users = new LoadUsers(ask, TEAMS, Number(options.tasks), Number(options.taskSeconds));
   }
@@ -154,7 +126,7 @@
   }
 
   private deliver(node: number, worker: Worker, report: object): Promise<HttpAnswer | null> {
-    return post(this.agentOf(worker.name), FIRST_PORT + 2 * node, '/hello', report);
+    return post(this.agentOf(worker.name), FIRST_PORT + 2 * node, '/hello', report, 'POST', ANSWER_WITHIN_MS);
   }
 
   private start(index: number, life: number): void {
@@ -191,7 +163,7 @@
     if (options.endLeader) await this.endLeader();
     console.log(`users: ${JSON.stringify(this.users.counters)}, machines ${this.cloud.workers.size}`);
     for (const { name, port } of this.running) {
-      const status = await post(this.agentOf(name), port, '/status', {}, 'GET');
+      const status = await post(this.agentOf(name), port, '/status', {}, 'GET', ANSWER_WITHIN_MS);
       console.log(`${name} ${JSON.stringify(status?.body ?? null)}`);
     }
     for (const { process: child } of this.running) child.kill('SIGTERM');
