The fake state store enforces the protocol's limits on transactions

PROTOCOL limits a value to value_kb, a transaction to txn_ops changes, four times as many conditions and 64 KiB, and a key to 200 bytes without spaces. It now answers 400 with the error, by the limits of the settings that the simulated controllers get; a rejected transaction is a violation of a simulation, and fails the loopback test.

--- a/test/cluster/cluster-options.ts
+++ b/test/cluster/cluster-options.ts
@@ -1,6 +1,7 @@
 import { type LoadBalancing } from '../../src/coordination/balancing/balancing';
 import { type Clock } from '../../src/transport/clock';
 import { type FakeMachineType } from '../standin/fake-cloud';
+import { type StoreLimits } from '../standin/transaction-limits';
 
 /** The parameters of a job that a test specifies instead of drawing them at random. */
 export interface JobParameters {
@@ -42,6 +43,10 @@
   machineTypes?: readonly FakeMachineType[];
   /** Machines that are up from the start; three small ones by default. */
   initialMachines?: { type: string; count: number }[];
+  /** The state store's limits on transactions; `STORE_LIMITS` by default. */
+  storeLimits?: StoreLimits;
+  /** Maximum number of entries on a page of the state store or of the cloud's list; few by default. */
+  entriesPerPage?: number;
   taskListener?: TaskListener;
   /** Creates the load balancing of a controller; load is not balanced if absent. */
   balancing?: (clock: Clock) => LoadBalancing;
@@ -63,6 +68,7 @@
 export const LEASE_MS = 12_000;
 /** The time within which the tasks of a cancelled job must be gone from all machines. */
 export const CANCELLATION_DEADLINE_MS = 37_000;
+export const STORE_LIMITS: StoreLimits = { valueKb: 4, txnOps: 12 };
 export const ZONES = ['a', 'b'];
 export const TEAMS: readonly TeamSettings[] = [
   { name: 'north', cpus: 8, cpus_max: 16 },
@@ -85,6 +91,7 @@
 
 /** The contents of one controller's settings file. */
 export function controllerSettings(index: number, options: VirtualClusterOptions): string {
+  const { valueKb, txnOps } = options.storeLimits ?? STORE_LIMITS;
   const others = Array.from({ length: options.controllers }, (_, i) => i).filter((i) => i !== index);
   return JSON.stringify({
     member: `velodrome-${index}`,
@@ -100,7 +107,7 @@
         lease_s: LEASE_MS / 1000,
         cancel_s: CANCELLATION_DEADLINE_MS / 1000,
       },
-      state: { rps: 150, write_rps: 40, value_kb: 4, txn_ops: 12 },
+      state: { rps: 150, write_rps: 40, value_kb: valueKb, txn_ops: txnOps },
       cloud: { rps: 6, list_lag_s: 3 },
     },
   });
--- a/test/cluster/loopback-balance.test.ts
+++ b/test/cluster/loopback-balance.test.ts
@@ -206,7 +206,10 @@
     return {
       finished: this.done.size,
       jobs: this.jobs.size,
-      violations: this.violations,
+      violations: [
+        ...this.violations,
+        ...this.cluster.rejections.map((reason) => `rejected_transaction: ${reason}`),
+      ],
       moves: [...this.moves.values()].reduce((sum, n) => sum + n, 0),
       spread: this.spreads.reduce((sum, value) => sum + value, 0) / Math.max(1, this.spreads.length),
       urgentStartDelayMs: startDelays[Math.floor(0.95 * startDelays.length)] ?? 0,
--- a/test/cluster/rule-checker.ts
+++ b/test/cluster/rule-checker.ts
@@ -1,5 +1,6 @@
 import { type FakeWorker } from '../standin/fake-worker';
 import { CANCELLATION_DEADLINE_MS, type TeamSettings } from './cluster-options';
+import { type TransactionBody } from '../standin/transaction-limits';
 import { type SubmittedJobs, type UserJob } from './submitted-jobs';
 
 /** A task that a machine executes: the machine's worker, and the job that the task belongs to. */
@@ -29,6 +30,12 @@
     this.violations.push(description);
   }
 
+  /** A controller must never send a transaction that exceeds the limits of the state store. */
+  transactionRejected(reason: string, { apply }: TransactionBody): void {
+    const changedKeys = apply.map((change) => ('set' in change ? change.set : change.delete));
+    this.recordViolation(`rejected_transaction: ${reason} at ${this.now()}: ${changedKeys.join(' ')}`);
+  }
+
   /** Checks the rules that the start of a task can violate. */
   taskStarted(worker: FakeWorker, taskId: string): void {
     this.startedTasks++;
--- a/test/cluster/virtual-cluster.ts
+++ b/test/cluster/virtual-cluster.ts
@@ -35,7 +35,7 @@
 /** Several controllers in one process under virtual time, with simulated users, workers, cloud and state store. */
 export class VirtualCluster {
   readonly time = new VirtualTime();
-  readonly store = new FakeStateStore(this.time);
+  readonly store: FakeStateStore;
   readonly cloud: FakeCloud;
   readonly nodes: ControllerNode[] = [];
   readonly jobs = new SubmittedJobs();
@@ -64,9 +64,12 @@
       maxMachines: options.maxMachines,
       listLagMs: LIST_LAG_MS,
       bootMs: BOOT_MS,
+      ...(options.entriesPerPage === undefined ? {} : { machinesPerPage: options.entriesPerPage }),
     });
+    this.store = new FakeStateStore(time, options.entriesPerPage, options.storeLimits);
     const { workers } = this.cloud;
     this.rules = new RuleChecker(jobs, teamSettings(options), workers, () => time.now);
+    this.store.onRejected = (reason, transaction) => this.rules.transactionRejected(reason, transaction);
     this.users = new SimulatedUsers({
       time,
       random: this.random,
--- a/test/standin/fake-cloud.ts
+++ b/test/standin/fake-cloud.ts
@@ -50,6 +50,8 @@
   readonly workers = new Map<string, FakeWorker>();
   /** Whether all requests get 503. */
   unavailable = false;
+  /** Whether requests to return machines get 503. */
+  refusesReturns = false;
   /** Number of machines that were preempted or deprovisioned. */
   terminatedCount = 0;
   private readonly booting = new Map<string, WireMachine>();
@@ -103,6 +105,7 @@
   request(method: string, path: string, body: unknown): Promise<HttpResponse> {
     if (this.unavailable) return jsonResponse(503, { error: 'trouble' });
     if (path === '/catalog') return this.catalog();
+    if (path === '/rentals/return' && this.refusesReturns) return jsonResponse(503, { error: 'trouble' });
     if (path === '/rentals/return') return this.deprovision(body as { velodromes: string[] });
     if (method === 'POST') return this.provision(body as ProvisionBody);
     return this.list(/from=([^&]*)/.exec(path)?.[1] ?? '');
--- a/test/standin/loopback.ts
+++ b/test/standin/loopback.ts
@@ -14,6 +14,7 @@
 const MACHINE_TYPE = { label: 'small', cpus: 4, memoryGb: 16 };
 const RESPONSE_TIMEOUT_MS = 4000;
 const PAGE_SIZE = 1000;
+const STORE_LIMITS = { valueKb: 16, txnOps: 24 };
 const BOOT_MS = 2000;
 const LIST_LAG_MS = 1000;
 
@@ -44,8 +45,10 @@
 /** Controllers as real processes on the loopback interface, with fakes for workers, cloud and state store. */
 export class LoopbackCluster {
   readonly cloud: FakeCloud;
+  /** Why the state store rejected transactions as malformed; no controller may send such a transaction. */
+  readonly rejections: string[] = [];
   private readonly time = new RealTime();
-  private readonly store = new FakeStateStore(this.time, PAGE_SIZE);
+  private readonly store = new FakeStateStore(this.time, PAGE_SIZE, STORE_LIMITS);
   private readonly agents = new Map<string, Agent>();
   private readonly processes = new Map<number, ChildProcess>();
   private readonly folder = mkdtempSync(join(tmpdir(), 'heathbridge-'));
@@ -65,6 +68,7 @@
       heartbeatIntervalMs: options.heartbeatIntervalMs,
       leaseMs: options.leaseMs,
     };
+    this.store.onRejected = (reason) => void this.rejections.push(reason);
     this.cloud = new FakeCloud({
       time: this.time,
       hooks,
@@ -112,7 +116,12 @@
           lease_s: leaseMs / 1000,
           cancel_s: leaseMs / 1000 + 15,
         },
-        state: { rps: 200, write_rps: 40, value_kb: 16, txn_ops: 24 },
+        state: {
+          rps: 200,
+          write_rps: 40,
+          value_kb: STORE_LIMITS.valueKb,
+          txn_ops: STORE_LIMITS.txnOps,
+        },
         cloud: { rps: 8, list_lag_s: LIST_LAG_MS / 1000 },
       },
     };
--- a/test/standin/store.ts
+++ b/test/standin/store.ts
@@ -1,6 +1,7 @@
 import type { HttpResponse } from '../../src/transport/http-client';
 import type { TimeSource } from './clock';
 import { jsonResponse } from './json-response';
+import { transactionError, type StoreLimits, type TransactionBody } from './transaction-limits';
 
 interface StoredEntry {
   v: unknown;
@@ -17,10 +18,13 @@
 
 /** Default number of keys on a page. Pages are short, so that the keys can change between two of them. */
 const DEFAULT_KEYS_PER_PAGE = 7;
+const DEFAULT_LIMITS: StoreLimits = { valueKb: 4, txnOps: 12 };
 
 /** A fake state store with keys, transactions, session leases, watches and outages. */
 export class FakeStateStore {
   readonly keys = new Map<string, StoredEntry>();
+  /** Called with the reason for each transaction that is rejected because of the protocol's limits. */
+  onRejected: (reason: string, transaction: TransactionBody) => void = () => undefined;
   private readonly changes: RecordedChange[] = [];
   private readonly leases = new Map<number, { ttlMs: number; expiresAt: number }>();
   private readonly watchers = new Set<() => void>();
@@ -31,6 +35,7 @@
   constructor(
     private readonly time: TimeSource,
     private readonly keysPerPage = DEFAULT_KEYS_PER_PAGE,
+    private readonly limits = DEFAULT_LIMITS,
   ) {
     const expirePeriodically = (): void => {
       this.expireLeases();
@@ -48,6 +53,11 @@
     });
   }
 
+  /** Number of changes of keys so far. */
+  get changeCount(): number {
+    return this.changes.length;
+  }
+
   value(path: string): unknown {
     return this.keys.get(path)?.v;
   }
@@ -102,6 +112,11 @@
   }
 
   private applyTransaction(body: TransactionBody): Promise<HttpResponse> {
+    const error = transactionError(body, this.limits);
+    if (error !== null) {
+      this.onRejected(error, body);
+      return jsonResponse(400, { error });
+    }
     for (const op of body.apply) {
       if ('set' in op && op.permit != null && !this.leases.has(op.permit))
         return jsonResponse(400, { error: 'no such lease' });
@@ -165,8 +180,3 @@
     });
   }
 }
-
-interface TransactionBody {
-  if: { path: string; stamp: number }[];
-  apply: ({ set: string; v: unknown; permit?: number } | { delete: string })[];
-}
--- a/tools/load/main.ts
+++ b/tools/load/main.ts
@@ -27,6 +27,7 @@
 const LIST_LAG_MS = 1000;
 const RESPONSE_TIMEOUT_MS = 4000;
 const PAGE_ENTRY_COUNT = 1000;
+const STORE_LIMITS = { valueKb: 32, txnOps: 24 };
 const RECORDING_WRITE_MS = 4000;
 const SHOWN_FUNCTION_COUNT = 25;
 const TEAMS = ['north', 'south', 'west', 'east'];
@@ -66,7 +67,12 @@
     facts: {
       teams: TEAMS.map((name) => ({ name, cpus, cpus_max: 2 * cpus })),
       workers: { report_s: HEARTBEAT_INTERVAL_MS / 1000, lease_s: LEASE_MS / 1000, cancel_s: 49 },
-      state: { rps: 200, write_rps: 40, value_kb: 32, txn_ops: 24 },
+      state: {
+        rps: 200,
+        write_rps: 40,
+        value_kb: STORE_LIMITS.valueKb,
+        txn_ops: STORE_LIMITS.txnOps,
+      },
       cloud: { rps: 8, list_lag_s: LIST_LAG_MS / 1000 },
     },
   };
@@ -74,7 +80,7 @@
 
 class LoadRun {
   private readonly time = new RealTime();
-  private readonly store = new FakeStateStore(this.time, PAGE_ENTRY_COUNT);
+  private readonly store = new FakeStateStore(this.time, PAGE_ENTRY_COUNT, STORE_LIMITS);
   private readonly agents = new Map<string, Agent>();
   private readonly cloud: FakeCloud;
   private readonly controllers: RunningController[] = [];
