A transaction that the state store rejects is not repeated

Seen: after an attempt without a response, an owner repeated an edit that the store rejects for its size every 150 ms until the partition changed hands; no other record of its machines was written.

Cause: a rejection had the result 'refused', like a transaction that was not executed for a passing reason, so an earlier attempt counted as possibly still to be applied.

Why the fix works: 'rejected' is a result of its own, and final, because the store's verdict depends on the transaction alone. Its machines are tried one by one, and one that is rejected alone is logged once and not tried again. A write with an ended lease is answered 400 too and stays 'refused'. GET /status counts 'rejected'.

--- a/src/coordination/leader/machine-registry.ts
+++ b/src/coordination/leader/machine-registry.ts
@@ -1,6 +1,7 @@
 import { type Clock } from '../../transport/clock';
 import { type Log } from '../../transport/log';
 import { planFleetEdit } from '../../storage/fleet-edit';
+import { RejectedMachines } from '../../storage/rejected-machines';
 import { type ReplicaView } from '../../storage/replica-view';
 import { RequestPriority } from '../../storage/request-queue';
 import { type StateStoreClient, type TransactionResult } from '../../storage/state-store-client';
@@ -39,11 +40,13 @@
   /** Machines that are gone but still recorded. */
   private readonly terminated = new Set<string>();
   private removing = false;
+  private readonly rejectedRemovals: RejectedMachines;
   /** The first heartbeat of each machine that sends heartbeats but is not recorded. */
   private readonly firstHeartbeats = new Map<string, Pick<Heartbeat, 'agentEpoch' | 'sequence'>>();
 
   constructor(private readonly deps: MachineRegistryDependencies) {
     this.writer = new NewMachineWriter(deps);
+    this.rejectedRemovals = new RejectedMachines(deps.log);
     deps.replica.events.subscribe((event) => {
       if (event.kind === 'machine-removed') this.removed.add(event.id);
       else if (event.kind === 'machine') this.removed.delete(event.id);
@@ -85,9 +88,12 @@
     const { settings, replica, stateStore, log } = this.deps;
     const ids = [...this.terminated].filter((id) => replica.machines.get(id)?.record.partition === partition);
     if (ids.length === 0) return null;
-    const changes = new Map(ids.map((id) => [id, null]));
+    const changes = this.rejectedRemovals.changesToTry(new Map(ids.map((id) => [id, null])));
     const edit = planFleetEdit(replica, partition, changes, '', settings.stateStoreLimits);
+    if (edit.ids.length === 0) return null;
     const result = await stateStore.transact(edit.conditions, edit.writes, RequestPriority.Decision);
+    if (result.kind === 'rejected') this.rejectedRemovals.recordRejection(edit.ids);
+    else if (result.kind === 'applied') this.rejectedRemovals.recordAccepted(edit.ids);
     log.info({ machines: edit.ids, result: result.kind }, 'machines removed');
     return result;
   }
--- a/src/coordination/partition/partition-actor.ts
+++ b/src/coordination/partition/partition-actor.ts
@@ -123,6 +123,7 @@
       core,
       store,
       limits: { valueBytes, txnOps },
+      log,
       isReleased: () => this.released,
       onDecided: (machines) => this.send({ kind: 'records-decided', machines }),
     });
--- a/src/coordination/partition/partition-handover.ts
+++ b/src/coordination/partition/partition-handover.ts
@@ -30,7 +30,8 @@
     const result = await store.transact([targetUnchanged], [put], RequestPriority.Decision);
     const recordChanged = result.kind === 'conflict' && result.failed.includes(partitionKey);
     if (result.kind === 'applied' || recordChanged) return true;
-    if (result.kind === 'conflict' || (result.kind === 'refused' && !outcomeUnknown)) return false;
+    if (result.kind === 'conflict' || result.kind === 'rejected') return false;
+    if (result.kind === 'refused' && !outcomeUnknown) return false;
     outcomeUnknown ||= result.kind === 'unknown';
     await store.waitToRetry();
   }
--- a/src/protocol/store.ts
+++ b/src/protocol/store.ts
@@ -117,12 +117,34 @@
   return parsed.success ? parsed.data.failed : null;
 }
 
+const NO_SUCH_LEASE = 'no such lease';
+const errorSchema = z.object({ error: z.string() });
+
+/**
+ * Whether the response to a rejected transaction says that the lease of a write has ended. Any other rejection is about the form
+ * or the size of the transaction.
+ */
+export function isEndedLeaseError(body: unknown): boolean {
+  const parsed = errorSchema.safeParse(body);
+  return parsed.success && parsed.data.error === NO_SUCH_LEASE;
+}
+
 /** Parses the id of a new lease. */
 export function parseLease(body: unknown): number | null {
   const parsed = leaseSchema.safeParse(body);
   return parsed.success ? parsed.data.permit : null;
 }
 
+/** Maximum size in bytes of the body of a transaction. */
+export const MAX_TRANSACTION_BYTES = 64 * 1024;
+/** Maximum number of conditions of a transaction, as a multiple of its maximum number of writes. */
+export const MAX_CONDITIONS_PER_WRITE = 4;
+
+/** Size of a value in bytes as the state store counts it: that of its JSON in UTF-8. */
+export function jsonBytes(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value));
+}
+
 /** The body of a transaction. */
 export function transactionBody(conditions: Condition[], writes: Write[]): object {
   return {
--- a/src/storage/state-store-client.ts
+++ b/src/storage/state-store-client.ts
@@ -3,6 +3,8 @@
 import { type Log } from '../transport/log';
 import { Metrics } from '../transport/metrics';
 import {
+  isEndedLeaseError,
+  jsonBytes,
   openLeaseBody,
   parseEntry,
   parseFailedKeys,
@@ -32,8 +34,13 @@
   | { kind: 'applied'; revision: number }
   /** Not applied: the conditions on the keys in `failed` do not hold. */
   | { kind: 'conflict'; failed: string[] }
-  /** Certainly not applied. */
+  /** Certainly not applied, but it may succeed later. */
   | { kind: 'refused' }
+  /**
+   * Certainly not applied, neither now nor by an earlier or later attempt: the store holds the transaction to be malformed or
+   * above its limits. Repeating it unchanged is useless.
+   */
+  | { kind: 'rejected' }
   /** No usable response: it may have been applied, or may still be. */
   | { kind: 'unknown' };
 
@@ -223,8 +230,7 @@
       case STATUS.conflict:
         return { kind: 'conflict', failed: parseFailedKeys(response.body) ?? [] };
       case STATUS.badRequest:
-        this.logRejected(response, writes);
-        return { kind: 'refused' };
+        return this.badRequestResult(response, writes);
       case STATUS.unavailable:
       case STATUS.tooMany:
         return { kind: 'refused' };
@@ -233,9 +239,15 @@
     }
   }
 
-  private logRejected(response: HttpResponse, writes: Write[]): void {
-    const values = writes.map((w) => ('put' in w ? [w.put, JSON.stringify(w.value).length] : [w.remove]));
-    this.log.error({ response: response.body, values }, 'state store rejected a transaction as malformed');
+  private badRequestResult(response: HttpResponse, writes: Write[]): TransactionResult {
+    if (isEndedLeaseError(response.body)) return { kind: 'refused' };
+    this.connection.counters.rejected++;
+    const bytesByKey = writes.map((w) => ('put' in w ? [w.put, jsonBytes(w.value)] : [w.remove]));
+    this.log.error(
+      { response: response.body, values: bytesByKey },
+      'state store rejected a transaction as malformed',
+    );
+    return { kind: 'rejected' };
   }
 
   private countRequestedWrites(writes: Write[]): void {
--- a/src/storage/store-connection.ts
+++ b/src/storage/store-connection.ts
@@ -30,6 +30,8 @@
   refused: number;
   unanswered: number;
   writes: number;
+  /** Transactions that the store holds to be malformed or above its limits. */
+  rejected: number;
 }
 
 const CALL_TIMEOUT_MS = 1500;
@@ -42,7 +44,14 @@
 
 /** Sends requests in the order and at the rate of a queue, retries throttled ones, and records whether the store responds. */
 export class StoreConnection {
-  readonly counters: RequestCounters = { requests: 0, throttled: 0, refused: 0, unanswered: 0, writes: 0 };
+  readonly counters: RequestCounters = {
+    requests: 0,
+    throttled: 0,
+    refused: 0,
+    unanswered: 0,
+    writes: 0,
+    rejected: 0,
+  };
   private lastOkAt = Number.NEGATIVE_INFINITY;
   private lastRefusedAt = Number.NEGATIVE_INFINITY;
 
