Terminal states fit into values of any allowed size

Cause: a new value was begun only beyond a fixed 1,500 characters, and up to 30 states were added to the current one.

Why the fix works: states are added only as far as they fit beside the bytes up to which a value is extended, which are at most half of the limit. With 4 and 32 KiB nothing changes.

--- a/src/coordination/partition/partition-actor.ts
+++ b/src/coordination/partition/partition-actor.ts
@@ -102,7 +102,7 @@
     this.store = store;
     const minIntervalMs = minWriteIntervalMs(options);
     const { valueBytes, txnOps } = options;
-    this.terminalStates = new TerminalStateWriter(store, () => core.terminalStates, txnOps);
+    this.terminalStates = new TerminalStateWriter(store, () => core.terminalStates, { valueBytes, txnOps });
     this.progress = new ProgressWriter({
       store,
       valueBytes,
--- a/src/coordination/partition/terminal-state-writer.ts
+++ b/src/coordination/partition/terminal-state-writer.ts
@@ -1,11 +1,17 @@
 import { RequestPriority } from '../../storage/request-queue';
+import { type TransactionLimits } from '../../storage/transaction-size';
 import { type TerminalState } from '../../protocol/records';
 import { keys } from '../../protocol/keys';
+import { jsonBytes } from '../../protocol/store';
 import { type PartitionStore } from './partition-store';
 
 const MAX_STATES_PER_WRITE = 30;
 /** Once the JSON text of a stored value is longer than this, the next states are written to a new value. */
 const MAX_VALUE_BYTES = 1500;
+/** The share of the largest value beyond which states are written to a new value if the store's values are small. */
+const MAX_VALUE_RATIO = 0.5;
+/** Each state needs a condition, of which the store allows four for each operation; the rest is left for other conditions. */
+const STATES_PER_OPERATION = 2;
 const CATCH_UP_TIMEOUT_MS = 2000;
 
 /** Writes the terminal states of jobs to the state store, one transaction at a time, until none is left. */
@@ -16,8 +22,7 @@
     private readonly store: PartitionStore,
     /** Returns the terminal states that are not yet known to be in the state store, by job. */
     private readonly pending: () => ReadonlyMap<string, TerminalState>,
-    /** Maximum number of operations in one transaction. */
-    private readonly txnOps: number,
+    private readonly limits: TransactionLimits,
   ) {}
 
   /** Starts to write the pending states, unless a write is in progress. */
@@ -28,7 +33,7 @@
   private async write(): Promise<void> {
     if (this.writing || !this.store.isActive) return;
     this.writing = true;
-    const states = [...this.pending()].slice(0, Math.min(MAX_STATES_PER_WRITE, this.txnOps * 2));
+    const states = this.statesThatFit();
     const { key, revision, value } = this.targetValue();
     // The state of a job that its user has cancelled in the meantime is not written, because the cancellation takes precedence.
     const notCancelled = states.map(([ref]) => ({ key: keys.cancellation(ref), revision: 0 }));
@@ -45,6 +50,24 @@
     this.writePending();
   }
 
+  /** The first pending states that fit into one transaction, and into a value besides those that it may hold already. */
+  private statesThatFit(): [string, TerminalState][] {
+    const maxStates = Math.min(MAX_STATES_PER_WRITE, this.limits.txnOps * STATES_PER_OPERATION);
+    let freeBytes = this.limits.valueBytes - this.maxExtendedBytes;
+    const states: [string, TerminalState][] = [];
+    for (const state of this.pending()) {
+      freeBytes -= jsonBytes(state);
+      if (states.length === maxStates || (states.length > 0 && freeBytes < 0)) break;
+      states.push(state);
+    }
+    return states;
+  }
+
+  /** Size in bytes up to which a stored value is extended. */
+  private get maxExtendedBytes(): number {
+    return Math.min(MAX_VALUE_BYTES, this.limits.valueBytes * MAX_VALUE_RATIO);
+  }
+
   /** The stored value to extend: the partition's last one, or a new one if that is full. */
   private targetValue(): { key: string; revision: number; value: object } {
     const { partition, replica, stateStore } = this.store;
@@ -52,7 +75,7 @@
     const key = keys.terminalStates(partition, lastIndex);
     const current = stateStore.replica.entries.get(key);
     if (current === undefined) return { key, revision: 0, value: {} };
-    if (JSON.stringify(current.value).length > MAX_VALUE_BYTES)
+    if (jsonBytes(current.value) > this.maxExtendedBytes)
       return { key: keys.terminalStates(partition, lastIndex + 1), revision: 0, value: {} };
     return { key, revision: current.revision, value: current.value as object };
   }
