Submissions are divided by the limit on a transaction

Seen, in a test: with values of 32 KiB, 800 submissions at once were put into one transaction of more than 64 KiB; it was rejected, and every user got 503.

Cause: the size of each value and their number were limited, but not their total, for which PROTOCOL allows 64 KiB.

What does not fit goes into the next transaction.

--- a/src/storage/submission-batcher.ts
+++ b/src/storage/submission-batcher.ts
@@ -1,6 +1,7 @@
 import { type Clock } from '../transport/clock';
 import { keys } from '../protocol/keys';
 import { encodeAcceptedJob, type AcceptedJob } from '../protocol/records';
+import { jsonBytes, MAX_TRANSACTION_BYTES } from '../protocol/store';
 import { type ReplicaView } from './replica-view';
 import { RequestPriority } from './request-queue';
 import { type StateStoreClient } from './state-store-client';
@@ -40,6 +41,8 @@
 const MAX_WRITES_IN_FLIGHT = 2;
 /** Bytes that a value takes besides the jobs in it. */
 const VALUE_OVERHEAD_BYTES = 64;
+/** Total size of the jobs of one transaction; the rest is left for keys, conditions and punctuation. */
+const MAX_BATCHES_BYTES = MAX_TRANSACTION_BYTES - 8 * 1024;
 /** Size of the comma between two jobs of a value. */
 const SEPARATOR_BYTES = 1;
 
@@ -118,8 +121,10 @@
     const batches: PendingSubmission[][] = [];
     let batch: PendingSubmission[] = [];
     let freeBytes = 0;
+    let freeTransactionBytes = MAX_BATCHES_BYTES;
     for (let next = this.queue[0]; next !== undefined; next = this.queue[0]) {
       const bytes = next.bytes + SEPARATOR_BYTES;
+      if (bytes > freeTransactionBytes && batches.length > 0) break;
       if (bytes > freeBytes) {
         if (batches.length === txnOps) break;
         batch = [];
@@ -127,6 +132,7 @@
         freeBytes = valueBytes - VALUE_OVERHEAD_BYTES;
       }
       freeBytes -= bytes;
+      freeTransactionBytes -= bytes;
       batch.push(next);
       this.queue.shift();
     }
@@ -135,5 +141,5 @@
 }
 
 function encodedBytes(job: AcceptedJob): number {
-  return Buffer.byteLength(JSON.stringify(encodeAcceptedJob(job)));
+  return jsonBytes(encodeAcceptedJob(job));
 }
