Progress is divided by the limit on a transaction

Seen, in a test: with values of 32 KiB, the progress of 600 jobs with 60 done ranges each was put into one transaction of more than 64 KiB and rejected again and again. Start watermarks never rose, so tasks beyond the first eight of a job could not begin.

Cause: the number of values and the size of each were limited, but not their total, for which PROTOCOL allows 64 KiB.

Why the fix works: writesThatFit adds up the encoded sizes, with room for the conditions, and always takes at least one value, which is smaller than a transaction.

--- a/src/coordination/partition/progress-writer.ts
+++ b/src/coordination/partition/progress-writer.ts
@@ -1,7 +1,9 @@
-import { ProgressSlots } from '../../storage/progress-slots';
+import { ProgressSlots, type ProgressValue } from '../../storage/progress-slots';
 import { RequestPriority } from '../../storage/request-queue';
+import { writesThatFit } from '../../storage/transaction-size';
 import { encodeProgress, type JobProgress } from '../../protocol/records';
 import { keys } from '../../protocol/keys';
+import { type Write } from '../../protocol/store';
 import { type PartitionStore } from './partition-store';
 import { type ProgressToWrite } from './start-watermarks';
 
@@ -50,18 +52,19 @@
     const { jobs, watermarksRaised } = this.options.progress(now);
     if (!watermarksRaised && now - this.lastWriteAt < intervalMs) return;
     this.lastWriteAt = now;
-    const values = this.slots.changedValues(jobs).slice(0, txnOps);
-    if (values.length === 0) return;
+    const changed = this.slots.changedValues(jobs);
+    if (changed.length === 0) return;
     this.writing = true;
-    const writes = values.map(({ slot, jobs: inSlot }) => ({
-      put: keys.progress(store.partition, slot),
-      value: encodeProgress(inSlot),
-    }));
+    const writes = writesThatFit(
+      changed.map((value) => this.toWrite(value)),
+      txnOps,
+    );
+    const values = changed.slice(0, writes.length);
     // An earlier attempt that is applied late must not restore lower start watermarks.
-    const unchangedConditions = writes.map(({ put }) => ({
-      key: put,
-      revision: store.stateStore.revisionOf(put),
-    }));
+    const unchangedConditions = values.map(({ slot }) => {
+      const key = keys.progress(store.partition, slot);
+      return { key, revision: store.stateStore.revisionOf(key) };
+    });
     const priority = watermarksRaised ? RequestPriority.Decision : RequestPriority.Progress;
     const result = await store.transact(unchangedConditions, writes, priority, WRITE_TIMEOUT_MS);
     if (result.kind === 'applied') await store.stateStore.whenCaughtUp(result.revision, WRITE_TIMEOUT_MS);
@@ -72,4 +75,8 @@
       onWritten(value.jobs);
     }
   }
+
+  private toWrite({ slot, jobs }: ProgressValue): Write {
+    return { put: keys.progress(this.options.store.partition, slot), value: encodeProgress(jobs) };
+  }
 }
