Progress that does not fit into one transaction is written in turn

Seen, in a test: with 120 jobs whose progress changes all the time, values of 4 KiB and 2 operations, only the jobs of the first values were ever written; with 12 operations that needs over 190 open jobs of a partition. Tasks of the others that waited for a higher start watermark never began.

Cause: each write took the first changed values, in the order of their oldest jobs.

Evidence: the new test fails on the sources before and passes now.

Why the fix works: of the changed values, those written longest ago go first, so each is written after at most as many writes as there are values. If all fit, the same values are written as before.

--- a/src/storage/progress-slots.ts
+++ b/src/storage/progress-slots.ts
@@ -20,6 +20,9 @@
   private readonly slotOf = new Map<string, number>();
   private readonly jobCountBySlot: number[] = [];
   private readonly writtenTexts: string[] = [];
+  /** For each slot, the number of its last write in the order of all writes. */
+  private readonly writeOrder: number[] = [];
+  private writeCount = 0;
 
   constructor(private readonly valueBytes: number) {}
 
@@ -37,7 +40,10 @@
     this.jobCountBySlot[slot] = (this.jobCountBySlot[slot] ?? 1) - 1;
   }
 
-  /** The values that differ from those last written, in the order of their first jobs. Assigns a slot to each job without one. */
+  /**
+   * The values that differ from those last written, the one written longest ago first; values never written come before, in the order
+   * of their first jobs. Assigns a slot to each job without one.
+   */
   changedValues(jobs: ReadonlyMap<string, JobProgress>): ProgressValue[] {
     const values = new Map<number, Map<string, JobProgress>>();
     for (const [ref, progress] of jobs) {
@@ -52,12 +58,13 @@
       const text = JSON.stringify(encodeProgress(fitting));
       if (text !== this.writtenTexts[slot]) changed.push({ slot, jobs: fitting, text });
     }
-    return changed;
+    return changed.sort((a, b) => (this.writeOrder[a.slot] ?? 0) - (this.writeOrder[b.slot] ?? 0));
   }
 
   /** Records that the store holds this value. */
   markWritten({ slot, text }: ProgressValue): void {
     this.writtenTexts[slot] = text;
+    this.writeOrder[slot] = ++this.writeCount;
   }
 
   private getOrAssignSlot(ref: string): number {
--- a/test/partition/progress-writer.test.ts
+++ b/test/partition/progress-writer.test.ts
@@ -34,3 +34,31 @@
   assert.deepEqual(fixture.rejections, []);
   assert.equal(written.size, jobs.size);
 });
+
+// Guards against values that are postponed for ever because earlier ones change with every write: tasks of their jobs that waited
+// for a higher start watermark never began.
+test('progress that changes all the time is written in turn if not all of it fits into one transaction', async () => {
+  const limits: StoreLimits = { valueKb: 4, txnOps: 2 };
+  const fixture = new StoreFixture(limits);
+  const store = await fixture.partitionStore('p0');
+  const written = new Set<string>();
+  let doneCount = 0;
+  const writer = new ProgressWriter({
+    store,
+    ...valueLimits(limits),
+    intervalMs: 1000,
+    minIntervalMs: 400,
+    progress: () => {
+      const progress = { doneRanges: '', doneCount: ++doneCount, runningCount: 9, startWatermark: 200 };
+      const jobs = new Map(Array.from({ length: 120 }, (_, i) => [`job-${i}`, progress]));
+      return { jobs, watermarksRaised: true };
+    },
+    onWritten: (inValues) => {
+      for (const ref of inValues.keys()) written.add(ref);
+    },
+  });
+  for (let at = 0; at < 10_000; at += 500)
+    fixture.time.at(fixture.time.now + at, () => void writer.writeIfDue(fixture.time.now));
+  await fixture.run(10_000);
+  assert.equal(written.size, 120);
+});
