The truncation of progress ends if a value can never fit

Seen, in a test: the new test does not end on the sources before (stopped after 20 s).

Cause: the lists of done tasks were shortened until the value fits. After the limit on values was lowered, the jobs of a stored value may not fit even without any list.

Why the fix works: once the lists are empty the value is left out, and the values of other jobs are written.

--- a/src/storage/progress-slots.ts
+++ b/src/storage/progress-slots.ts
@@ -1,4 +1,5 @@
 import { encodeProgress, type JobProgress } from '../protocol/records';
+import { jsonBytes } from '../protocol/store';
 
 /** A progress value of a partition that is to be written. */
 export interface ProgressValue {
@@ -11,6 +12,9 @@
 /** Expected average size of a job in a value; determines how many jobs are assigned to a value. */
 const EXPECTED_BYTES_PER_JOB = 256;
 
+/** No range has fewer characters, so that done ranges truncated to less are empty. */
+const MIN_RANGES_LENGTH = 0.5;
+
 /**
  * Assigns each open job of a partition a slot: the index of the progress value that holds it. A job keeps its slot until it
  * ends. If it moved from one value to another, a crash could leave it in neither, and its start watermark, the index up to
@@ -42,7 +46,8 @@
 
   /**
    * The values that differ from those last written, the one written longest ago first; values never written come before, in the order
-   * of their first jobs. Assigns a slot to each job without one.
+   * of their first jobs. Assigns a slot to each job without one. A value whose jobs do not fit even without their done ranges is left
+   * out.
    */
   changedValues(jobs: ReadonlyMap<string, JobProgress>): ProgressValue[] {
     const values = new Map<number, Map<string, JobProgress>>();
@@ -55,6 +60,7 @@
     const changed: ProgressValue[] = [];
     for (const [slot, slotJobs] of values) {
       const fitting = this.truncateToFit(slotJobs);
+      if (!fitting) continue;
       const text = JSON.stringify(encodeProgress(fitting));
       if (text !== this.writtenTexts[slot]) changed.push({ slot, jobs: fitting, text });
     }
@@ -77,15 +83,18 @@
     return slot;
   }
 
-  /** Truncates the done ranges until the value fits. The omitted ranges are left for a later write. */
-  private truncateToFit(jobs: Map<string, JobProgress>): Map<string, JobProgress> {
+  /** Truncates the done ranges until the value fits; null if it never does. The omitted ranges are left for a later write. */
+  private truncateToFit(jobs: Map<string, JobProgress>): Map<string, JobProgress> | null {
+    const fits = (candidate: Map<string, JobProgress>): boolean =>
+      jsonBytes(encodeProgress(candidate)) <= this.valueBytes;
     let fitting = jobs;
-    for (let maxLength = this.valueBytes; ; maxLength /= 2) {
-      if (JSON.stringify(encodeProgress(fitting)).length <= this.valueBytes) return fitting;
+    for (let maxLength = this.valueBytes; !fits(fitting); maxLength /= 2) {
+      if (maxLength < MIN_RANGES_LENGTH) return null;
       fitting = new Map(
         [...jobs].map(([ref, p]) => [ref, { ...p, doneRanges: truncateRanges(p.doneRanges, maxLength) }]),
       );
     }
+    return fitting;
   }
 }
 
--- a/test/storage/progress-slots.test.ts
+++ b/test/storage/progress-slots.test.ts
@@ -34,3 +34,18 @@
   assert.equal(truncated?.jobs.get('job-2')?.startWatermark, 399);
   assert.match(truncated?.jobs.get('job-2')?.doneRanges ?? '', /^0,2,4(,[0-9]+)*$/);
 });
+
+// Guards against an endless loop, in which a controller hung, after the limit on values was lowered.
+test('a value whose jobs do not fit even without their done ranges is left out', () => {
+  const slots = new ProgressSlots(256);
+  const jobs = new Map<string, JobProgress>();
+  for (let i = 0; i < 64; i++) {
+    slots.assign(`job-${i}`, 0);
+    jobs.set(`job-${i}`, { doneRanges: '0-3', doneCount: 4, runningCount: 0, startWatermark: 8 });
+  }
+  jobs.set('job-64', { doneRanges: '0-3', doneCount: 4, runningCount: 0, startWatermark: 8 });
+  assert.deepEqual(
+    slots.changedValues(jobs).map((value) => [...value.jobs.keys()]),
+    [['job-64']],
+  );
+});
