Assigned machines are counted in bytes

The list of assigned machines was filled up to the limit in characters, while the state store counts bytes of UTF-8: a list of ids that are not ASCII would have been rejected.

--- a/src/storage/assigned-machines.ts
+++ b/src/storage/assigned-machines.ts
@@ -1,7 +1,10 @@
 import { keys } from '../protocol/keys';
-import { type Condition, type Write } from '../protocol/store';
+import { jsonBytes, type Condition, type Write } from '../protocol/store';
 import { type ReplicaView } from './replica-view';
 
+/** Size of the comma between two ids. */
+const SEPARATOR_BYTES = 1;
+
 /** A write of one assigned-machines value, and the condition that it depends on. */
 export interface AssignedMachinesEdit {
   /** The requested machines that the value records once this edit is applied. The remaining ones need further edits. */
@@ -45,9 +48,9 @@
   valueBytes: number,
 ): string[] {
   const ids: string[] = [];
-  let bytes = JSON.stringify(value).length;
+  let bytes = jsonBytes(value);
   for (const id of machines) {
-    bytes += JSON.stringify(id).length + 1;
+    bytes += jsonBytes(id) + SEPARATOR_BYTES;
     if (bytes > valueBytes && value.length + ids.length > 0) break;
     ids.push(id);
   }
--- a/test/storage/replica-view.test.ts
+++ b/test/storage/replica-view.test.ts
@@ -298,6 +298,14 @@
       valueBytes: 12,
       expect: { index: 0, ids: ['c'], value: ['b', 'c'] },
     },
+    // The state store counts bytes: two of these ids have 9 characters and 11 bytes as JSON.
+    {
+      name: 'as many as fit in bytes',
+      recorded: [],
+      assigned: ['é', 'ü'],
+      valueBytes: 10,
+      expect: { index: 0, ids: ['é'], value: ['é'] },
+    },
     {
       name: 'in the next value if one is full, and only as many as fit',
       recorded: [['a', 'b']],
