Any number of new machines is recorded, within the limits

Seen, in a simulation with 4,000 machines, values of 4 KiB and 12 operations: machines that the leader learns of together, from the cloud's list, were never recorded. At the loss of a zone 4 machines were recorded, and at the end 2,000 ran without a record.

Cause: all values of a burst, each of up to 50 machines whatever their size, were put into one transaction, which was rejected (too many changes) and repeated until the leader's term ended.

Why the fix works: values are filled by their encoded size, and transactions by their operations and size, one after the other, each repeated until it is decided as before. A rejected one is divided; a machine that is rejected alone, or whose record fits into no value, is logged once and left out.

--- a/src/coordination/leader/machine-registry.ts
+++ b/src/coordination/leader/machine-registry.ts
@@ -115,11 +115,11 @@
 
   /**
    * Records a machine that no known request provisioned, for the partition with the fewest machines. Does nothing if there is no
-   * partition, or if the machine is already known or its record was removed.
+   * partition, or if the machine is already known, its record was removed or cannot be written.
    */
   register(id: string, { type, zone, spot }: MachineKind): void {
     const partition = this.smallestPartition();
-    if (!partition || this.removed.has(id) || this.knows(id)) return;
+    if (!partition || this.removed.has(id) || this.knows(id) || this.writer.isUnwritable(id)) return;
     this.deps.log.info({ machine: id, partition }, 'machine registered');
     this.recordBatched(id, { partition, phase: 'active', type, zone, spot });
   }
--- a/src/coordination/leader/new-machine-writer.ts
+++ b/src/coordination/leader/new-machine-writer.ts
@@ -1,12 +1,16 @@
 import { sleep, type Clock } from '../../transport/clock';
+import { type Log } from '../../transport/log';
 import { initialWriteMayBeRetried } from '../../storage/fleet-edit';
+import { FleetPacker, type MachineWrite } from '../../storage/fleet-packer';
+import { RejectedMachines } from '../../storage/rejected-machines';
 import { type ReplicaView } from '../../storage/replica-view';
 import { RequestPriority } from '../../storage/request-queue';
 import { type StateStoreClient, type TransactionResult } from '../../storage/state-store-client';
+import { writesThatFit } from '../../storage/transaction-size';
 import { initialFleetValueName, keys } from '../../protocol/keys';
 import { encodeFleet, type MachineRecord } from '../../protocol/records';
 import { type Settings } from '../../protocol/settings';
-import { type Condition, type Write } from '../../protocol/store';
+import { type Write } from '../../protocol/store';
 import { type Membership } from '../membership/membership';
 
 /** Maximum number of machine records that share a value when they are first written. */
@@ -23,6 +27,7 @@
   stateStore: StateStoreClient;
   replica: ReplicaView;
   clock: Clock;
+  log: Log;
 }
 
 /** Writes the records of new machines to the state store and removes values that no longer hold any machine. */
@@ -32,33 +37,84 @@
   private readonly settledKeys = new Set<string>();
   private sweptAt = Number.NEGATIVE_INFINITY;
   private sweeping = false;
+  private readonly rejected: RejectedMachines;
 
-  constructor(private readonly deps: NewMachineWriterDependencies) {}
+  constructor(private readonly deps: NewMachineWriterDependencies) {
+    this.rejected = new RejectedMachines(deps.log);
+  }
 
   /**
-   * Writes records under a leader's term, in separate values for each partition. Repeats the transaction until the replica
-   * shows the outcome or `isCurrent` returns false because the term is over. A session lease that lapses for a moment does not
-   * end the repetition: an attempt whose response was lost may still be applied, and a machine that was recorded anew in the
-   * meantime would be in two partitions.
+   * Writes records under a leader's term, in separate values for each partition and as many transactions as the limits of the
+   * state store require. Resolves once the replica shows the outcome or `isCurrent` returns false because the term is over.
    */
   async write(
     machines: readonly [string, MachineRecord][],
     leaderTerm: number,
     isCurrent: () => boolean,
   ): Promise<void> {
-    const { membership, stateStore } = this.deps;
-    const { conditions, writes } = this.newValues(machines, leaderTerm);
+    const transactions = this.splitIntoTransactions(this.newValues(machines, leaderTerm));
+    for (let values = transactions.shift(); values && isCurrent(); values = transactions.shift()) {
+      const rejected = await this.writeValues(values, leaderTerm, isCurrent);
+      if (rejected) transactions.unshift(...this.smallerTransactions(values, leaderTerm));
+    }
+  }
+
+  /** Whether the record of this machine fits into no value, so that it cannot be written. */
+  isUnwritable(id: string): boolean {
+    return this.rejected.isExcluded(id);
+  }
+
+  private splitIntoTransactions(values: readonly NewValue[]): NewValue[][] {
+    const { txnOps } = this.deps.settings.stateStoreLimits;
+    const transactions: NewValue[][] = [];
+    for (let remaining = values; remaining.length > 0;) {
+      const count = writesThatFit(remaining.map(toWrite), txnOps).length;
+      transactions.push(remaining.slice(0, count));
+      remaining = remaining.slice(count);
+    }
+    return transactions;
+  }
+
+  /**
+   * Repeats the transaction until the replica shows the outcome or `isCurrent` returns false. A session lease that lapses for a
+   * moment does not end the repetition: an attempt whose response was lost may still be applied, and a machine that was recorded
+   * anew in the meantime would be in two partitions. Resolves to whether the state store rejects the transaction.
+   */
+  private async writeValues(
+    values: readonly NewValue[],
+    leaderTerm: number,
+    isCurrent: () => boolean,
+  ): Promise<boolean> {
+    const { membership, stateStore, clock } = this.deps;
+    const absent = values.map(({ key }) => ({ key, revision: 0 }));
+    const conditions = [{ key: keys.leader, revision: leaderTerm }, ...absent];
+    const writes = values.map(toWrite);
     let outcomeUnknown = false;
     while (isCurrent()) {
       if (membership.mayAct()) {
         const result = await stateStore.transact(conditions, writes, RequestPriority.Decision);
+        if (result.kind === 'rejected') return true;
         outcomeUnknown ||= result.kind === 'unknown';
         if (await this.replicaShows(result)) break;
       }
-      await sleep(this.deps.clock, RETRY_DELAY_MS);
+      await sleep(clock, RETRY_DELAY_MS);
+    }
+    if (!outcomeUnknown) for (const { key } of values) this.settledKeys.add(key);
+    return false;
+  }
+
+  /** Smaller transactions in place of a rejected one; none if it had a single machine, which cannot be recorded. */
+  private smallerTransactions(values: readonly NewValue[], leaderTerm: number): NewValue[][] {
+    const [first] = values;
+    if (values.length !== 1 || !first) return values.map((value) => [value]);
+    const { partition, machines } = first;
+    if (machines.length === 1) {
+      for (const [id] of machines) this.rejected.exclude(id);
+      return [];
     }
-    if (outcomeUnknown) return;
-    for (const write of writes) if ('put' in write) this.settledKeys.add(write.put);
+    const middle = Math.ceil(machines.length / 2);
+    const halves = [machines.slice(0, middle), machines.slice(middle)];
+    return halves.map((half) => [this.newValue(partition, half, leaderTerm)]);
   }
 
   private async replicaShows(result: TransactionResult): Promise<boolean> {
@@ -92,28 +148,37 @@
     );
   }
 
-  /** Writes of the values that hold new machines, each under a key that was never used before, and their conditions. */
-  private newValues(
-    machines: readonly [string, MachineRecord][],
-    leaderTerm: number,
-  ): { conditions: Condition[]; writes: Write[] } {
-    const conditions: Condition[] = [{ key: keys.leader, revision: leaderTerm }];
-    const writes: Write[] = [];
+  /** The values that hold new machines, each under a key that was never used before. */
+  private newValues(machines: readonly [string, MachineRecord][], leaderTerm: number): NewValue[] {
+    const { valueBytes } = this.deps.settings.stateStoreLimits;
+    const values: NewValue[] = [];
     for (const [partition, entries] of groupByPartition(machines)) {
-      for (let i = 0; i < entries.length; i += MAX_RECORDS_PER_VALUE) {
-        const key = keys.fleet(partition, initialFleetValueName(leaderTerm, ++this.valueCount));
-        conditions.push({ key, revision: 0 });
-        writes.push({ put: key, value: encodeFleet(entries.slice(i, i + MAX_RECORDS_PER_VALUE)) });
-      }
+      const packer = new FleetPacker(valueBytes, valueBytes, MAX_RECORDS_PER_VALUE);
+      for (const entry of entries) if (!packer.add(entry)) this.rejected.exclude(entry[0]);
+      for (const part of packer.parts) values.push(this.newValue(partition, part, leaderTerm));
     }
-    return { conditions, writes };
+    return values;
+  }
+
+  private newValue(partition: string, machines: readonly MachineWrite[], leaderTerm: number): NewValue {
+    const key = keys.fleet(partition, initialFleetValueName(leaderTerm, ++this.valueCount));
+    return { key, partition, machines };
   }
 }
 
-type NewEntry = [string, { record: MachineRecord; revision: null }];
+/** A value that holds new machines of one partition. */
+interface NewValue {
+  key: string;
+  partition: string;
+  machines: readonly MachineWrite[];
+}
+
+function toWrite({ key, machines }: NewValue): Write {
+  return { put: key, value: encodeFleet(machines) };
+}
 
-function groupByPartition(machines: readonly [string, MachineRecord][]): Map<string, NewEntry[]> {
-  const groups = new Map<string, NewEntry[]>();
+function groupByPartition(machines: readonly [string, MachineRecord][]): Map<string, MachineWrite[]> {
+  const groups = new Map<string, MachineWrite[]>();
   for (const [id, record] of machines) {
     const entries = groups.get(record.partition) ?? [];
     entries.push([id, { record, revision: null }]);
--- a/src/protocol/records.ts
+++ b/src/protocol/records.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { EDGE_KINDS, type JobSpec } from './jobs';
+import { jsonBytes } from './store';
 
 /*
  * The records that the controllers keep in the state store under the keys of `keys.ts`. Decoders return null for a malformed
@@ -236,15 +237,42 @@
 
 /** Encodes machines of one partition, by id. Machines with equal records and revisions share a group. */
 export function encodeFleet(machines: Iterable<readonly [string, FleetWrite]>): FleetGroup[] {
-  const groups = new Map<string, FleetGroup>();
-  for (const [id, write] of machines) {
-    const { type, zone, spot, phase, reason } = write.record;
-    const groupKey = JSON.stringify([write.revision, type, zone, spot, phase, reason]);
-    const group = groups.get(groupKey);
-    if (group) group.ids.push(id);
-    else groups.set(groupKey, newGroup(id, write));
+  const builder = new FleetValueBuilder();
+  for (const [id, write] of machines) builder.tryAdd(id, write, Infinity);
+  return builder.groups;
+}
+
+/** Size in bytes of an empty JSON array, and of the comma between two elements. */
+const EMPTY_ARRAY_BYTES = 2;
+const COMMA_BYTES = 1;
+
+/** Builds a fleet value machine by machine, up to a size in bytes. */
+export class FleetValueBuilder {
+  private readonly groupsByKey = new Map<string, FleetGroup>();
+  private encodedBytes = EMPTY_ARRAY_BYTES;
+
+  get groups(): FleetGroup[] {
+    return [...this.groupsByKey.values()];
   }
-  return [...groups.values()];
+
+  /** Adds a machine unless the encoded value would then exceed `maxBytes`. Returns whether it was added. */
+  tryAdd(id: string, write: FleetWrite, maxBytes: number): boolean {
+    const key = groupKey(write);
+    const known = this.groupsByKey.get(key);
+    const group = known ?? newGroup(id, write);
+    const separatorBytes = this.groupsByKey.size > 0 ? COMMA_BYTES : 0;
+    const addedBytes = separatorBytes + jsonBytes(known ? id : group);
+    if (this.encodedBytes + addedBytes > maxBytes) return false;
+    this.encodedBytes += addedBytes;
+    if (known) known.ids.push(id);
+    else this.groupsByKey.set(key, group);
+    return true;
+  }
+}
+
+function groupKey({ record, revision }: FleetWrite): string {
+  const { type, zone, spot, phase, reason } = record;
+  return JSON.stringify([revision, type, zone, spot, phase, reason]);
 }
 
 function newGroup(id: string, { record, revision }: FleetWrite): FleetGroup {
