Edits of fleet values stay within the limits by construction

Cause: the planner limited the ids of the changed machines, not the value that it writes. Machines changed by separate edits each need a group of some 90 bytes, so a value grows without a machine being added.

Why the fix works: the size that counts is that of the encoded values and of the whole body. What does not fit is split off into a new value, or left to the next edit; one machine at a time always fits unless its record or the operations of a split exceed the limits, and then it is named.

--- a/src/coordination/leader/machine-registry.ts
+++ b/src/coordination/leader/machine-registry.ts
@@ -13,6 +13,8 @@
 import { NewMachineWriter } from './new-machine-writer';
 
 const RECORD_BATCH_DELAY_MS = 60;
+/** Distinguishes the fleet values that a leader splits off from those to which it first writes new machines. */
+const REMOVAL_NAME_PREFIX = 'removal-';
 const REPLICA_CATCH_UP_TIMEOUT_MS = 2000;
 
 export interface MachineRegistryDependencies {
@@ -41,6 +43,7 @@
   private readonly terminated = new Set<string>();
   private removing = false;
   private readonly rejectedRemovals: RejectedMachines;
+  private editCount = 0;
   /** The first heartbeat of each machine that sends heartbeats but is not recorded. */
   private readonly firstHeartbeats = new Map<string, Pick<Heartbeat, 'agentEpoch' | 'sequence'>>();
 
@@ -89,7 +92,9 @@
     const ids = [...this.terminated].filter((id) => replica.machines.get(id)?.record.partition === partition);
     if (ids.length === 0) return null;
     const changes = this.rejectedRemovals.changesToTry(new Map(ids.map((id) => [id, null])));
-    const edit = planFleetEdit(replica, partition, changes, '', settings.stateStoreLimits);
+    const name = `${REMOVAL_NAME_PREFIX}${this.leaderTerm}-${++this.editCount}`;
+    const edit = planFleetEdit(replica, partition, changes, name, settings.stateStoreLimits);
+    this.rejectedRemovals.logUnwritable(edit.unwritable);
     if (edit.ids.length === 0) return null;
     const result = await stateStore.transact(edit.conditions, edit.writes, RequestPriority.Decision);
     if (result.kind === 'rejected') this.rejectedRemovals.recordRejection(edit.ids);
--- a/src/coordination/partition/machine-record-writer.ts
+++ b/src/coordination/partition/machine-record-writer.ts
@@ -1,7 +1,8 @@
 import { type Log } from '../../transport/log';
-import { planFleetEdit, type FleetEdit, type FleetLimits } from '../../storage/fleet-edit';
+import { planFleetEdit, type FleetEdit } from '../../storage/fleet-edit';
 import { RejectedMachines } from '../../storage/rejected-machines';
 import { RequestPriority } from '../../storage/request-queue';
+import { type TransactionLimits } from '../../storage/transaction-size';
 import { type MachineRecord } from '../../protocol/records';
 import { type PartitionCore } from './partition-core';
 import { type PartitionStore } from './partition-store';
@@ -11,7 +12,7 @@
 export interface MachineRecordWriterOptions {
   core: PartitionCore;
   store: PartitionStore;
-  limits: FleetLimits;
+  limits: TransactionLimits;
   log: Log;
   /** Whether the partition is handed over or being handed over, so that nothing is written any more. */
   isReleased: () => boolean;
@@ -55,7 +56,11 @@
     if (this.writing) return;
     this.writing = true;
     const edit = this.planNextEdit();
-    for (const id of edit.ids) this.pending.delete(id);
+    for (const id of [...edit.ids, ...edit.unwritable]) this.pending.delete(id);
+    if (edit.unwritable.length > 0) {
+      this.rejected.logUnwritable(edit.unwritable);
+      this.options.onDecided(edit.unwritable);
+    }
     if (edit.ids.length > 0) {
       await this.writeUntilDecided(edit);
       this.options.onDecided(edit.ids);
