A machine is edited only in the value that holds it

While the replica is filled, a machine may have left the value that last held it, and the new value is not known yet. An edit planned then was conditional on a value without the machine, so a transfer would have recorded it in a second partition. Found by reading; the new test fails on the sources before (the transfer is planned) and passes now. The change stays queued until the replica shows the machine's value.

--- a/src/coordination/partition/machine-record-writer.ts
+++ b/src/coordination/partition/machine-record-writer.ts
@@ -74,11 +74,16 @@
     const name = `${partition}-${epoch}-${++this.writeCount}`;
     const changes = this.rejected.changesToTry(this.pending);
     const edit = planFleetEdit(replica, partition, changes, name, limits);
-    // These machines have left the partition.
-    if (edit.ids.length === 0) for (const id of changes.keys()) this.pending.delete(id);
+    if (edit.ids.length === 0) this.dropMachinesThatLeft();
     return edit;
   }
 
+  private dropMachinesThatLeft(): void {
+    const { partition, replica } = this.options.store;
+    for (const id of this.pending.keys())
+      if (replica.machines.get(id)?.record.partition !== partition) this.pending.delete(id);
+  }
+
   /**
    * Repeats a write until it is applied, or can no longer be applied because the values have changed or the store rejects it: an
    * attempt whose response was lost may still be applied. Resolves once the replica shows the outcome; until then the machines
--- a/src/storage/fleet-edit.ts
+++ b/src/storage/fleet-edit.ts
@@ -134,10 +134,14 @@
     return { ids, conditions, writes: writes.rewritten };
   }
 
-  /** The key of the value that holds a machine of this partition; null if there is none. */
+  /**
+   * The key of the value that holds a machine of this partition; null if there is none. While the replica is filled, a machine may
+   * have left the value that last held it, and the value that now holds it is not known yet.
+   */
   private keyOf(id: string): string | null {
     const machine = this.replica.machines.get(id);
-    return machine?.record.partition === this.partition ? machine.key : null;
+    if (machine?.record.partition !== this.partition) return null;
+    return this.replica.fleetInKey(machine.key).has(id) ? machine.key : null;
   }
 
   /** The partition that a change moves a machine to; null if the machine stays or is gone. */
--- a/test/storage/fleet-edit.test.ts
+++ b/test/storage/fleet-edit.test.ts
@@ -347,3 +347,13 @@
     assert.equal(store.storedMachines().length, 300);
   });
 });
+
+// Guards against a transfer of a machine that the replica, while it is filled, shows neither in its old value nor in its new one:
+// the machine would be recorded in both partitions.
+test('a machine that has left its value is not edited until the replica shows the value that holds it', () => {
+  const store = new FleetStore(STORE_LIMITS);
+  store.putFleet('p0', '1-1', distinctMachines(3));
+  store.showHalf(() => store.putFleet('p0', '1-1', distinctMachines(2)));
+  const transfer = new Map([['i-000002', { ...RECORD, partition: 'p1' }]]);
+  assert.deepEqual(planFleetEdit(store.replica, 'p0', transfer, 'p0-7-1', LIMITS).writes, []);
+});
