Settings with values that no job fits into end the start

A limit on values below 0.3 KiB leaves no room for the stored form of the smallest job, so no submission could be accepted. The start now ends with exit code 2 and names facts.state.value_kb, as for other invalid settings.

--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -9,6 +9,8 @@
 
 const address = z.string().regex(/^[0-9.]+:[0-9]+$/, 'must be an IPv4 address and a port');
 const amount = z.number().nonnegative();
+/** The stored form of the smallest job, with the room that values leave free, takes nearly as much. */
+const MIN_VALUE_KB = 0.3;
 
 const settingsSchema = z.object({
   member: z.string().min(1),
@@ -47,7 +49,7 @@
     state: z.object({
       rps: z.number().positive(),
       write_rps: z.number().positive(),
-      value_kb: z.number().positive(),
+      value_kb: z.number().min(MIN_VALUE_KB, `must be at least ${MIN_VALUE_KB}: no job fits into less`),
       txn_ops: z.number().int().positive(),
     }),
     cloud: z.object({ rps: z.number().positive(), list_lag_s: amount }),
--- a/test/protocol/settings.test.ts
+++ b/test/protocol/settings.test.ts
@@ -1,7 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { parseSettings, type ResourceQuota } from '../../src/protocol/settings';
+import { SubmissionBatcher } from '../../src/storage/submission-batcher';
+import { jobSpec } from '../support/job-spec';
 import { SETTINGS } from '../support/settings-file';
+import { StoreFixture } from '../support/store-fixture';
+
+function withStateLimits(limits: object): object {
+  return { ...SETTINGS, facts: { ...SETTINGS.facts, state: { ...SETTINGS.facts.state, ...limits } } };
+}
 
 test('settings: the error names the first invalid field', () => {
   assert.equal(parseSettings(JSON.stringify({ ...SETTINGS, later: 1 })).workerLeaseMs, 12_000);
@@ -10,6 +17,8 @@
     [{ ...SETTINGS, serve_on: 'localhost' }, /^serve_on: .*IPv4/],
     [{ ...SETTINGS, facts: { ...SETTINGS.facts, teams: [] } }, /^facts\.teams: /],
     [{ ...SETTINGS, external: { cloud: '1.1.1.1:1' } }, /^external\.state: /],
+    [withStateLimits({ value_kb: 0.29 }), /^facts\.state\.value_kb: .*no job fits/],
+    [withStateLimits({ txn_ops: 0 }), /^facts\.state\.txn_ops: /],
   ];
   for (const [invalid, reason] of cases)
     assert.throws(() => parseSettings(JSON.stringify(invalid)), { message: reason });
@@ -41,3 +50,21 @@
     assert.deepEqual(parseSettings(JSON.stringify({ ...SETTINGS, facts })).teams[0]?.limit, limit);
   }
 });
+
+test('settings: the smallest job fits into the smallest value', () => {
+  const { stateStoreLimits } = parseSettings(JSON.stringify(withStateLimits({ value_kb: 0.3 })));
+  const short = {
+    workload: 'w',
+    team: 't',
+    image: '',
+    expectedS: 1,
+    imageGb: 1,
+    spot: false,
+    deadlineS: null,
+  };
+  const job = { spec: jobSpec('job-1', short), acceptedAt: new Date(0).toISOString() };
+  const fixture = new StoreFixture({ valueKb: 0.3, txnOps: 1 });
+  const { stateStore, replica, clock } = fixture;
+  const options = { valueBytes: stateStoreLimits.valueBytes, txnOps: 1, processIncarnation: 'a' };
+  assert.equal(new SubmissionBatcher({ stateStore, replica, clock }, options).fitsInValue(job), true);
+});
