A task that must run at most once is not started again after its machine is lost

Seen, in tests: a job that is not re-executable was started a second time if its machine was gone, its lease expired, or its agent began a new epoch before the worker had reported the task. The worker may have run it meanwhile.

Cause: only lost tasks that had been reported failed such a job. One that was sent but not reported counted as never started.

Why the fix works: a lost task carries how it was lost. Only a newer report of the same agent epoch without the task proves that the start never reached the worker: one report is in flight at a time, and an answer that comes too late is dropped. Such a task is started again; every other loss fails the job. Re-executable jobs run again as before.

--- a/src/coordination/partition/heartbeat-handler.ts
+++ b/src/coordination/partition/heartbeat-handler.ts
@@ -62,7 +62,7 @@
     // The boot time is not idle time. If it were, a machine would be deprovisioned as soon as it is up.
     if (machine.lastHeartbeatAt === null) machine.idleSince = now;
     const outcome = machine.applyHeartbeat(heartbeat, epoch, now, leaseMs);
-    for (const task of outcome.lost) lifecycle.releaseLostTask(task, now);
+    for (const lost of outcome.lost) lifecycle.releaseLostTask(lost, now);
     for (const exit of outcome.exits) lifecycle.handleExit(machine, exit, now);
     for (const task of outcome.unknownTasks) lifecycle.adoptRunningTask(machine, task, now);
     if (!wasConfirmed) this.updateConfirmation(machine);
--- a/src/coordination/partition/in-flight-task.ts
+++ b/src/coordination/partition/in-flight-task.ts
@@ -21,6 +21,18 @@
   runningSince: number | null;
 }
 
+/**
+ * Why a task is certain not to be on its machine. `exited`: its worker reported the exit. `undelivered`: its start never reached
+ * the worker. `interrupted`: it may have been started, and no exit was reported.
+ */
+export type TaskRelease = 'exited' | 'undelivered' | 'interrupted';
+
+/** A task that is certain not to be on its machine although its exit was not reported. */
+export interface LostTask {
+  task: InFlightTask;
+  release: Exclude<TaskRelease, 'exited'>;
+}
+
 /** A task exit reported by a worker. */
 export interface TaskExit {
   ref: string;
--- a/src/coordination/partition/machine.ts
+++ b/src/coordination/partition/machine.ts
@@ -2,7 +2,7 @@
 import { type JobSpec } from '../../protocol/jobs';
 import { type MachineRecord } from '../../protocol/records';
 import { type Command, type Heartbeat, type HeartbeatTask } from '../../protocol/workers';
-import { taskKey, type InFlightTask, type TaskExit } from './in-flight-task';
+import { taskKey, type InFlightTask, type LostTask, type TaskExit } from './in-flight-task';
 import { MachineUsage } from './machine-usage';
 import { type Resources } from './resources';
 
@@ -10,7 +10,7 @@
 export interface HeartbeatOutcome {
   exits: TaskExit[];
   /** Tasks that were in flight and are certain not to be on the machine any more. */
-  lost: InFlightTask[];
+  lost: LostTask[];
   /** Live tasks on the machine that were not in flight. */
   unknownTasks: HeartbeatTask[];
 }
@@ -212,10 +212,13 @@
     return outcome;
   }
 
-  /** Drops the tasks that were started in earlier agent epochs: a new epoch begins without tasks. */
+  /**
+   * Drops the tasks that were started in earlier agent epochs: a new epoch begins without tasks. A task that was not reported may
+   * have run until the worker's lease expired.
+   */
   private applyNewAgentEpoch({ agentEpoch }: Heartbeat, outcome: HeartbeatOutcome): void {
     for (const task of [...this.tasksByKey.values()])
-      if (task.originHeartbeat.agentEpoch < agentEpoch) this.dropLost(task, outcome);
+      if (task.originHeartbeat.agentEpoch < agentEpoch) this.dropLost(task, 'interrupted', outcome);
     // The worker's lease had expired: its heartbeats may reach this owner while the answers do not reach the worker.
     if (this.agentEpoch > 0) this.requireNewToken();
   }
@@ -267,15 +270,16 @@
       if (liveKeys.has(key)) continue;
       const { agentEpoch, sequence } = task.originHeartbeat;
       if (!isAfter(heartbeat, agentEpoch, sequence)) continue;
-      startLost ||= task.phase === 'sent';
-      this.dropLost(task, outcome);
+      const undelivered = task.phase === 'sent';
+      startLost ||= undelivered;
+      this.dropLost(task, undelivered ? 'undelivered' : 'interrupted', outcome);
     }
     if (startLost) this.requireNewToken();
   }
 
-  private dropLost(task: InFlightTask, outcome: HeartbeatOutcome): void {
+  private dropLost(task: InFlightTask, release: LostTask['release'], outcome: HeartbeatOutcome): void {
     this.removeTask(task);
-    outcome.lost.push(task);
+    outcome.lost.push({ task, release });
   }
 
   /** Returns the commands of the answer to the last heartbeat that precede any starts. The answer renews the worker's lease. */
--- a/src/coordination/partition/partition-core.ts
+++ b/src/coordination/partition/partition-core.ts
@@ -182,7 +182,7 @@
   removeMachine(id: string, now: number): void {
     const machine = this.machineSet.remove(id);
     if (!machine) return;
-    for (const task of machine.removeAllTasks()) this.lifecycle.releaseTask(task, now, true);
+    for (const task of machine.removeAllTasks()) this.lifecycle.releaseTask(task, 'interrupted', now);
     this.observer?.machineRemoved(id, now);
     this.markConfirmed(id);
   }
@@ -345,7 +345,7 @@
     for (const machine of this.machines.values()) {
       const lost = machine.expireLease(now, this.options.leaseMs);
       if (!lost) continue;
-      for (const task of lost) this.lifecycle.releaseLostTask(task, now);
+      for (const task of lost) this.lifecycle.releaseLostTask({ task, release: 'interrupted' }, now);
       this.markConfirmed(machine.id);
     }
   }
--- a/src/coordination/partition/task-lifecycle.ts
+++ b/src/coordination/partition/task-lifecycle.ts
@@ -1,7 +1,7 @@
 import { type HeartbeatTask } from '../../protocol/workers';
 import { type PartitionJob } from './job';
 import { type JobSet } from './job-set';
-import { taskKey, type InFlightTask, type TaskExit } from './in-flight-task';
+import { taskKey, type InFlightTask, type LostTask, type TaskExit, type TaskRelease } from './in-flight-task';
 import { type MachineState } from './machine';
 import { type RuntimeEstimates } from './priority';
 import { type TaskObserver } from './task-observer';
@@ -65,13 +65,13 @@
   }
 
   /** Releases a task that is certain not to be on its machine although its exit was not reported. Counts it as lost. */
-  releaseLostTask(task: InFlightTask, now: number): void {
+  releaseLostTask({ task, release }: LostTask, now: number): void {
     this.deps.counters.lost++;
-    this.releaseTask(task, now, true);
+    this.releaseTask(task, release, now);
   }
 
-  /** Releases a task that is certain not to be on its machine any more. `lost` is true if its exit was not reported. */
-  releaseTask(task: InFlightTask, now: number, lost: boolean): void {
+  /** Releases a task that is certain not to be on its machine any more. Fails its job if the task must not be started again. */
+  releaseTask(task: InFlightTask, release: TaskRelease, now: number): void {
     const { jobs, jobSet, quota } = this.deps;
     if (task.spec) quota.addUsage(task.spec, -1);
     const job = jobs.get(task.ref);
@@ -81,12 +81,12 @@
     job.requeue(task.index);
     if (job.isPending(task.index)) this.observer?.taskRequeued(task.ref, task.index, now);
     jobSet.markIfDone(job);
-    if (lost && task.phase === 'reported') jobSet.failIfRunsAtMostOnce(job);
+    if (release === 'interrupted') jobSet.failIfRunsAtMostOnce(job);
   }
 
   /** Handles an exit that a worker has reported. The worker repeats the exit until it is told to forget it. */
   handleExit(machine: MachineState, exit: TaskExit, now: number): void {
-    if (exit.inFlight) this.releaseTask(exit.inFlight, now, false);
+    if (exit.inFlight) this.releaseTask(exit.inFlight, 'exited', now);
     const job = this.deps.jobs.get(exit.ref);
     if (!job) return;
     if (exit.reason === 'done') this.recordRunTime(job, exit, now);
