A new owner without unconfirmed machines fails interrupted jobs at once

Seen, in tests: if all machines of a partition were gone before its new owner took over, tasks that must run at most once were started again.

Cause: interrupted jobs are failed when the last unconfirmed machine is confirmed, which never happens if there is none.

Why the fix works: a job that is opened while no machine is unconfirmed is judged at once. Nothing can report its tasks any more: the machines that earlier owners assigned are gone, and their records with them.

--- a/src/coordination/partition/job-set.ts
+++ b/src/coordination/partition/job-set.ts
@@ -46,8 +46,11 @@
     return this.unwrittenTerminalStates;
   }
 
-  /** Adds an open job. Returns false, and does nothing, if it is known already or its team belongs to another partition. */
-  open({ spec, acceptedAt, revision, progress }: OpenJob, now: number): boolean {
+  /**
+   * Adds an open job. Returns false, and does nothing, if it is known already or its team belongs to another partition.
+   * `allConfirmed`: no machine can have unreported tasks of earlier owners, so the job's interrupted tasks are known at once.
+   */
+  open({ spec, acceptedAt, revision, progress }: OpenJob, allConfirmed: boolean, now: number): boolean {
     const { epoch, objectives, jobs, quota } = this.options;
     if (!quota.has(spec.team) || jobs.has(spec.ref)) return false;
     const unconfirmed = revision <= epoch;
@@ -58,6 +61,7 @@
     this.pipelines.setMember(spec, 'open', revision);
     this.applyPipeline(spec.ref);
     this.markIfDone(job);
+    if (allConfirmed) this.failIfInterrupted(job);
     this.lastArrivalAt = now;
     return true;
   }
@@ -124,8 +128,11 @@
    * has expired: a task that an earlier owner started and that is neither done nor in flight was then interrupted.
    */
   failInterruptedJobs(): void {
-    for (const job of this.options.jobs.values())
-      if (job.runsAtMostOnce && job.hasInterruptedTasks) this.failIfRunsAtMostOnce(job);
+    for (const job of this.options.jobs.values()) this.failIfInterrupted(job);
+  }
+
+  private failIfInterrupted(job: PartitionJob): void {
+    if (job.runsAtMostOnce && job.hasInterruptedTasks) this.failIfRunsAtMostOnce(job);
   }
 
   /**
--- a/src/coordination/partition/partition-core.ts
+++ b/src/coordination/partition/partition-core.ts
@@ -274,7 +274,7 @@
    * Adds a job that is open in the state store. Ignores a job that is known already, or whose team belongs to another partition.
    */
   openJob(job: OpenJob, now: number): void {
-    if (this.jobSet.open(job, now)) this.queue.invalidate();
+    if (this.jobSet.open(job, this.unconfirmedCount === 0, now)) this.queue.invalidate();
   }
 
   /** Adds a terminated job to its pipeline, where its edges still apply. Ignores a job without a pipeline. */
--- a/test/partition/at-most-once.test.ts
+++ b/test/partition/at-most-once.test.ts
@@ -7,6 +7,7 @@
   type PartitionCase,
   PartitionHarness,
   REVISION_AFTER_EPOCH,
+  REVISION_BEFORE_EPOCH,
   startedTasks,
   taskInPhase,
 } from '../support/partition-harness';
@@ -132,3 +133,49 @@
 test('a task of a job that runs at most once is started again only if it certainly never started', async (t) => {
   for (const [name, run, cpuLimit] of cases) await t.test(name, () => run(new PartitionHarness(cpuLimit)));
 });
+
+// Guards against a second start by a new owner that has no machine to wait for, because all machines were gone before it took over.
+test('a new owner fails an interrupted job that runs at most once, whichever machines are left', async (t) => {
+  const failovers: PartitionCase[] = [
+    [
+      'no machine is left',
+      (partition) => {
+        partition.addJob(atMostOnce(), REVISION_BEFORE_EPOCH);
+        assertFailed(partition);
+      },
+    ],
+    [
+      'the only machine is new',
+      (partition) => {
+        partition.addUnassignedMachine('new', REVISION_AFTER_EPOCH);
+        partition.addJob(atMostOnce(), REVISION_BEFORE_EPOCH);
+        assertFailed(partition);
+      },
+    ],
+    [
+      'the last machine of the earlier owner is confirmed without the task',
+      (partition) => {
+        partition.addMachine('m', REVISION_BEFORE_EPOCH);
+        partition.addJob(atMostOnce(), REVISION_BEFORE_EPOCH);
+        assert.equal(terminalStateOf(partition), undefined, 'the machine may have the task');
+        partition.heartbeat('m', 1000);
+        assertFailed(partition);
+      },
+    ],
+    [
+      'the job was never started',
+      (partition) => {
+        partition.addJob(atMostOnce(), REVISION_BEFORE_EPOCH, '', 0);
+        assert.equal(terminalStateOf(partition), undefined);
+      },
+    ],
+    [
+      'the job is re-executable',
+      (partition) => {
+        partition.addJob(reExecutable(), REVISION_BEFORE_EPOCH);
+        assertStartedAgain(partition);
+      },
+    ],
+  ];
+  for (const [name, run] of failovers) await t.test(name, () => run(new PartitionHarness()));
+});
