A start refused with no_such does not fail a job that runs at most once

PROTOCOL: no_such means that the start was refused, like full and busy, so the task has not run. Such a job failed, with everything that depends on it. The start is retried with the delays as before.

--- a/src/coordination/partition/task-lifecycle.ts
+++ b/src/coordination/partition/task-lifecycle.ts
@@ -1,4 +1,4 @@
-import { type HeartbeatTask } from '../../protocol/workers';
+import { type ExitReason, type HeartbeatTask } from '../../protocol/workers';
 import { type PartitionJob } from './job';
 import { type JobSet } from './job-set';
 import { taskKey, type InFlightTask, type LostTask, type TaskExit, type TaskRelease } from './in-flight-task';
@@ -17,6 +17,9 @@
 /** Number of heartbeats that may pass until a command reaches the worker. */
 const COMMAND_DELAY_HEARTBEATS = 2;
 
+/** Exits of tasks that the worker refused to start; `unknown`: it did not find the job or the task. */
+const REFUSED_STARTS: ReadonlySet<ExitReason> = new Set(['no_room', 'busy', 'unknown']);
+
 /** Counters of a partition in `GET /status`. Their names are part of that interface. */
 export interface PartitionCounters {
   started: number;
@@ -120,7 +123,7 @@
 
   private handleFailure(job: PartitionJob, machine: MachineState, exit: TaskExit, now: number): void {
     if (exit.reason !== 'stopped') this.observer?.taskFailed(exit.ref, exit.index, now);
-    if (exit.reason !== 'no_room' && exit.reason !== 'busy') this.deps.jobSet.failIfRunsAtMostOnce(job);
+    if (!REFUSED_STARTS.has(exit.reason)) this.deps.jobSet.failIfRunsAtMostOnce(job);
     if (exit.reason === 'error' || exit.reason === 'unknown') this.retryLater(job, machine, exit, now);
     else if (exit.reason === 'no_room') job.delayRetry(exit.index, now + this.deps.heartbeatIntervalMs);
   }
--- a/test/partition/at-most-once.test.ts
+++ b/test/partition/at-most-once.test.ts
@@ -179,3 +179,23 @@
   ];
   for (const [name, run] of failovers) await t.test(name, () => run(new PartitionHarness()));
 });
+
+// PROTOCOL: `full`, `busy` and `no_such` mean that the start was refused, so the task did not run.
+test('a refused start does not fail a job that runs at most once', async (t) => {
+  for (const reason of ['no_room', 'busy', 'unknown'] as const)
+    await t.test(reason, () => {
+      const partition = new PartitionHarness();
+      const command = start(partition, atMostOnce());
+      const answer = partition.heartbeat('m', 2000, [taskInPhase(command, 'exited', reason)]);
+      assert.equal(terminalStateOf(partition), undefined);
+      const started = [...startedTasks(answer), ...startsElsewhere(partition, AFTER_LEASE_MS)];
+      assert.deepEqual(started, ['job-1/0'], 'the task is started again, once');
+    });
+  for (const reason of ['error', 'stopped', 'other'] as const)
+    await t.test(`${reason}: the task ran, and the job fails`, () => {
+      const partition = new PartitionHarness();
+      const command = start(partition, atMostOnce());
+      partition.heartbeat('m', 2000, [taskInPhase(command, 'exited', reason)]);
+      assertFailed(partition);
+    });
+});
