A machine stays cordoned while its transfer may outlive a failed handover

Seen, in a simulation of one owner: a transfer gets no response, the partition is being handed over, and the handover fails. The owner started a task on the machine, and the late transfer was then applied: the next owner takes such a machine for empty, so the task could run twice.

Cause: the writer stopped waiting when the partition was released, and reported the edit as decided, which uncordons its machines.

Why the fix works: the edit is kept, with whether an attempt may still be applied, and continued if the handover fails. If it succeeds, the epoch has changed and no attempt can be applied.

--- a/src/coordination/partition/machine-record-writer.ts
+++ b/src/coordination/partition/machine-record-writer.ts
@@ -2,6 +2,7 @@
 import { planFleetEdit, type FleetEdit } from '../../storage/fleet-edit';
 import { RejectedMachines } from '../../storage/rejected-machines';
 import { RequestPriority } from '../../storage/request-queue';
+import { type TransactionResult } from '../../storage/state-store-client';
 import { type TransactionLimits } from '../../storage/transaction-size';
 import { type MachineRecord } from '../../protocol/records';
 import { type PartitionCore } from './partition-core';
@@ -16,14 +17,23 @@
   log: Log;
   /** Whether the partition is handed over or being handed over, so that nothing is written any more. */
   isReleased: () => boolean;
-  /** Called once it is known whether the change of these machines' records was applied, or once the partition is released. */
+  /** Called once it is known whether the change of these machines' records was applied. Not called once the partition is lost. */
   onDecided: (machines: string[]) => void;
 }
 
+/** An edit that is being written. */
+interface EditInProgress {
+  edit: FleetEdit;
+  /** Whether an attempt may have been applied, or may still be. */
+  outcomeUnknown: boolean;
+}
+
 /** Changes the records of machines that are transferred to another partition or deprovisioned, in batches. */
 export class MachineRecordWriter {
   private readonly pending = new Map<string, MachineRecord>();
   private writing = false;
+  /** Kept while the partition is being handed over: if the handover fails, the edit is still to be decided. */
+  private inProgress: EditInProgress | null = null;
   private writeCount = 0;
   private readonly rejected: RejectedMachines;
 
@@ -47,25 +57,31 @@
     this.pending.set(id, { ...machine.record, ...change });
   }
 
-  /** Starts to write the queued changes, unless a write is in progress. */
+  /** Starts to write the queued changes, or continues with the edit that a failed handover interrupted. */
   writePending(): void {
-    if (this.pending.size > 0) void this.write();
+    if (this.pending.size > 0 || this.inProgress) void this.write();
   }
 
   private async write(): Promise<void> {
     if (this.writing) return;
     this.writing = true;
+    this.inProgress ??= this.beginNextEdit();
+    if (this.inProgress && (await this.writeUntilDecided(this.inProgress))) {
+      this.options.onDecided(this.inProgress.edit.ids);
+      this.inProgress = null;
+    }
+    this.writing = false;
+  }
+
+  /** Takes the next edit from the queued changes; null if none of them can be written now. */
+  private beginNextEdit(): EditInProgress | null {
     const edit = this.planNextEdit();
     for (const id of [...edit.ids, ...edit.unwritable]) this.pending.delete(id);
     if (edit.unwritable.length > 0) {
       this.rejected.logUnwritable(edit.unwritable);
       this.options.onDecided(edit.unwritable);
     }
-    if (edit.ids.length > 0) {
-      await this.writeUntilDecided(edit);
-      this.options.onDecided(edit.ids);
-    }
-    this.writing = false;
+    return edit.ids.length > 0 ? { edit, outcomeUnknown: false } : null;
   }
 
   private planNextEdit(): FleetEdit {
@@ -86,13 +102,12 @@
 
   /**
    * Repeats a write until it is applied, or can no longer be applied because the values have changed or the store rejects it: an
-   * attempt whose response was lost may still be applied. Resolves once the replica shows the outcome; until then the machines
-   * stay cordoned. Resolves without an outcome once the partition is released.
+   * attempt whose response was lost may still be applied. Resolves to true once the replica shows the outcome; until then the
+   * machines stay cordoned. Resolves to false, without an outcome, if the partition is released meanwhile.
    */
-  private async writeUntilDecided({ ids, conditions, writes }: FleetEdit): Promise<void> {
+  private async writeUntilDecided(progress: EditInProgress): Promise<boolean> {
     const { store, isReleased } = this.options;
-    const { stateStore } = store;
-    let outcomeUnknown = false;
+    const { ids, conditions, writes } = progress.edit;
     while (!isReleased()) {
       // If the session lease has expired, an attempt in transit may still be applied, so no machine is uncordoned.
       if (!store.isActive) {
@@ -100,14 +115,29 @@
         continue;
       }
       const result = await store.transact(conditions, writes, RequestPriority.Decision);
-      if (result.kind === 'rejected') return this.rejected.recordRejection(ids);
-      if (result.kind === 'refused' && !outcomeUnknown) return;
+      if (result.kind === 'rejected') this.rejected.recordRejection(ids);
       if (result.kind === 'applied') this.rejected.recordAccepted(ids);
-      if (result.kind === 'applied' && (await stateStore.whenCaughtUp(result.revision, CATCH_UP_TIMEOUT_MS)))
-        return;
-      if (result.kind === 'conflict' && (await stateStore.ensureFresh())) return;
-      outcomeUnknown ||= result.kind !== 'refused';
+      if (await this.isDecided(result, progress.outcomeUnknown)) return true;
+      progress.outcomeUnknown ||= result.kind !== 'refused';
       await store.waitToRetry();
     }
+    return false;
+  }
+
+  /** Whether no attempt can be applied any more, and the replica shows what was. */
+  private async isDecided(result: TransactionResult, outcomeUnknown: boolean): Promise<boolean> {
+    const { stateStore } = this.options.store;
+    switch (result.kind) {
+      case 'applied':
+        return stateStore.whenCaughtUp(result.revision, CATCH_UP_TIMEOUT_MS);
+      case 'conflict':
+        return stateStore.ensureFresh();
+      case 'rejected':
+        return true;
+      case 'refused':
+        return !outcomeUnknown;
+      case 'unknown':
+        return false;
+    }
   }
 }
--- a/test/support/store-fixture.ts
+++ b/test/support/store-fixture.ts
@@ -5,7 +5,9 @@
 import { ReplicaView } from '../../src/storage/replica-view';
 import { RequestPriority } from '../../src/storage/request-queue';
 import { StateStoreClient } from '../../src/storage/state-store-client';
+import { type StoreTransport } from '../../src/storage/store-connection';
 import { type Clock } from '../../src/transport/clock';
+import { type HttpResponse } from '../../src/transport/http-client';
 import { flushPromises, VirtualTime } from '../standin/clock';
 import { FakeStateStore } from '../standin/store';
 import { type StoreLimits } from '../standin/transaction-limits';
@@ -30,19 +32,14 @@
   readonly replica: ReplicaView;
   /** Why the store rejected transactions as malformed. */
   readonly rejections: string[] = [];
+  /** For each of the next transactions that get no response: the time in milliseconds after which it is applied. */
+  readonly lateTransactionsMs: number[] = [];
 
   constructor(limits: StoreLimits) {
     this.store = new FakeStateStore(this.time, ENTRIES_PER_PAGE, limits);
     this.store.onRejected = (reason) => void this.rejections.push(reason);
-    const call = async (
-      method: string,
-      path: string,
-      body: unknown,
-    ): Promise<Awaited<ReturnType<FakeStateStore['request']>>> => {
-      await new Promise<void>((resolve) => this.time.at(this.time.now + LATENCY_MS, resolve));
-      const sent: unknown = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
-      return this.store.request(method, path, sent, () => false);
-    };
+    const call: StoreTransport['call'] = (method, path, body, timeoutMs) =>
+      this.request(method, path, body, timeoutMs);
     this.stateStore = new StateStoreClient(
       { transport: { call }, watchTransport: { call }, clock: this.clock, log: this.log },
       { requestRate: 1000, writeRate: 1000, controllers: 1 },
@@ -51,6 +48,28 @@
     void this.stateStore.followChanges();
   }
 
+  private async request(
+    method: string,
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<HttpResponse | null> {
+    const sent: unknown = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
+    const execute = (): Promise<HttpResponse> => this.store.request(method, path, sent, () => false);
+    const lateMs = path === '/multi' ? this.lateTransactionsMs.shift() : undefined;
+    if (lateMs !== undefined) {
+      this.time.at(this.time.now + lateMs, () => void execute());
+      await this.after(timeoutMs);
+      return null;
+    }
+    await this.after(LATENCY_MS);
+    return execute();
+  }
+
+  private after(ms: number): Promise<void> {
+    return new Promise((resolve) => this.time.at(this.time.now + ms, resolve));
+  }
+
   /** Advances virtual time. */
   async run(ms: number): Promise<void> {
     await flushPromises();
