Demands with different accelerators are not merged

Seen, in a test: the demand of tasks that need accelerators was merged into that of a job of the same workload without, and the leader rented machines on which they cannot run.

Cause: the key by which demands are merged did not contain accelerators.

Evidence: the new test of the partition's load and the leader's plan fails on the sources before, and passes now.

Why the fix works: the key contains them. The form of a load is unchanged; it has one entry more only where accelerators differ.

--- a/src/coordination/partition/partition-load.ts
+++ b/src/coordination/partition/partition-load.ts
@@ -66,7 +66,7 @@
     const expectedS = partition.estimates.expectedSeconds(spec);
     const { workload, cpus, accelerators, memoryGb, machineTypes, spot, priority } = spec;
     const zones = eligibleZones(spec, allZones, inFlightByZone(job));
-    const key = JSON.stringify([workload, cpus, memoryGb, machineTypes, zones, spot]);
+    const key = JSON.stringify([workload, cpus, accelerators, memoryGb, machineTypes, zones, spot]);
     const existing = demandsByKey.get(key);
     if (existing) {
       existing.expectedS =
