A merged demand has the most urgent priority of its jobs

Seen, in a test: the demand of an idle job that had waited for 150 s, and so went first, hid urgent tasks of the same workload.

Cause: the priority of the first job was kept for the merged demand.

Evidence: the new test fails on the sources before (priority 3 instead of 1) and passes now.

Why the fix works: the smallest number, which is the most urgent priority, is kept.

--- a/src/coordination/partition/partition-load.ts
+++ b/src/coordination/partition/partition-load.ts
@@ -72,6 +72,8 @@
       existing.expectedS =
         (existing.expectedS * existing.tasks + expectedS * tasks) / (existing.tasks + tasks);
       existing.tasks += tasks;
+      // A job that was raised by its deadline may come before more urgent ones; their priority must not be lost.
+      existing.priority = Math.min(existing.priority, priority);
     } else {
       demandsByKey.set(key, {
         workload,
--- a/test/partition/partition-demands.test.ts
+++ b/test/partition/partition-demands.test.ts
@@ -11,6 +11,8 @@
 import { SMALL_TYPE } from '../support/machine-types';
 
 const OWNER_EPOCH = 100;
+const URGENT = 1;
+const IDLE = 3;
 const ACCELERATED_TYPE: MachineType = { ...SMALL_TYPE, name: 'accelerated', accelerators: 2 };
 const TYPES = new Map([SMALL_TYPE, ACCELERATED_TYPE].map((type) => [type.name, type]));
 
@@ -58,6 +60,16 @@
   assert.ok(requested.includes('accelerated'), `requested: ${requested.join()}`);
 });
 
+// Guards against urgent tasks that are hidden in the demand of an idle job that has waited long and goes first: machines were not
+// transferred for them as for urgent work.
+test('the demand of jobs of different priorities has the most urgent of them', () => {
+  const idle = jobSpec('job-1', { tasks: 2, priority: IDLE });
+  const urgent = jobSpec('job-2', { tasks: 3, priority: URGENT });
+  const merged = [{ accelerators: 0, priority: URGENT, tasks: 5 }];
+  assert.deepEqual(loadOf([urgent], [idle]).demands.map(shown), merged);
+  assert.deepEqual(loadOf([urgent, idle]).demands.map(shown), merged);
+});
+
 test('peers of an earlier version read the demands as before', () => {
   const load = loadOf([jobSpec('job-1'), jobSpec('job-2', { accelerators: 1 })]);
   const message = {
