The simulated cut of a zone is as strict as the protocol says

The cut spared open watches, requests in transit, the cloud, and duplicated and replayed heartbeats. It now cuts them all off; messages in transit, and half of those sent during the cut, are delivered in order once it ends, when their senders have given up (PROTOCOL, 'Delayed messages').

--- a/test/cluster/simulated-network.ts
+++ b/test/cluster/simulated-network.ts
@@ -12,6 +12,8 @@
 const SLOW_REQUEST_ONE_IN = 150;
 /** One heartbeat in this many is duplicated; the copy arrives late, at any controller. */
 const DUPLICATED_HEARTBEAT_ONE_IN = 25;
+/** One message in this many that is sent into a cut is held back; the others are lost. */
+const HELD_BACK_ONE_IN = 2;
 /** At most this many recorded heartbeats, the newest ones, are replayed when a new controller leads. */
 const MAX_REPLAYED_HEARTBEATS = 60;
 
@@ -31,12 +33,9 @@
   loseOneResponseIn = 0;
   /** Whether heartbeats are recorded, and copies are delivered to every controller as soon as a new one leads. */
   replayHeartbeatsToNextLeader = false;
-  /**
-   * The zone whose workers reach only the first controller, while that controller gets no heartbeats from other zones, no
-   * frames from its peers and no responses to new requests to the state store; null if no zone is isolated. Requests to the
-   * cloud, open watches, and duplicated or replayed heartbeats are not affected.
-   */
-  isolatedZone: string | null = null;
+  private isolated: string | null = null;
+  /** Messages that are held back because the zone is isolated, in the order in which they were sent. */
+  private readonly heldBack: (() => void)[] = [];
   private readonly recordedHeartbeats: { worker: FakeWorker; heartbeat: object }[] = [];
   private lastSeenLeader = -1;
 
@@ -46,41 +45,76 @@
     private readonly nodes: readonly ControllerNode[],
   ) {}
 
+  /**
+   * The zone that is cut off from everything else, with the first controller in it; null if none is. Inside, that controller and
+   * the workers of the zone reach each other. It gets no frames of its peers, and no responses of the state store or the cloud, not
+   * even to requests and watches that it sent before. PROTOCOL ("Delayed messages"): requests and heartbeats that are in transit
+   * across the cut, and some that are sent during it, are held back and delivered in order once it ends, when their senders have given
+   * up.
+   */
+  get isolatedZone(): string | null {
+    return this.isolated;
+  }
+
+  set isolatedZone(zone: string | null) {
+    this.isolated = zone;
+    if (zone === null) for (const deliver of this.heldBack.splice(0)) deliver();
+  }
+
+  /** Whether the cut separates a controller from everything outside the isolated zone. */
+  private isCutOff(index: number): boolean {
+    return this.isolated !== null && index === 0;
+  }
+
+  /** Whether the cut separates a worker from a controller. */
+  private isCutBetween(worker: FakeWorker, index: number): boolean {
+    return this.isolated !== null && (worker.zone === this.isolated) !== (index === 0);
+  }
+
+  /** Delivers a message now, or once the zone is no longer isolated if the cut is on its way. */
+  private deliver(isCut: () => boolean, action: () => void): void {
+    if (isCut()) this.heldBack.push(action);
+    else action();
+  }
+
   /** Sends a request to the state store; the response is null on a timeout. */
   requestStore(
-    { node, index, isUp }: ControllerProcess,
+    process: ControllerProcess,
     path: string,
     timeoutMs: number,
     send: (refused: () => boolean) => Promise<HttpResponse>,
   ): Promise<HttpResponse | null> {
-    const unreachable = node.isolated || (this.isolatedZone !== null && index === 0);
-    if (unreachable || (node.watchHangs && path.startsWith('/watch'))) return this.noResponse(timeoutMs);
+    const { node, index } = process;
+    if (this.isCutOff(index)) return this.holdBack(timeoutMs, () => send(() => false));
+    if (node.isolated || (node.watchHangs && path.startsWith('/watch'))) return this.noResponse(timeoutMs);
     const isWrite = path === '/multi';
-    if (isWrite && this.oneIn(this.delayOneWriteIn)) return this.applyAfterTimeout(timeoutMs, send);
+    if (isWrite && this.oneIn(this.delayOneWriteIn)) return this.applyAfterTimeout(index, timeoutMs, send);
     const responseLost = isWrite && this.oneIn(this.loseOneResponseIn);
     const refused = (): boolean => node.storeRefuses || node.isolated;
-    return this.request(node, isUp, timeoutMs, () => send(refused), responseLost);
+    return this.request(process, timeoutMs, () => send(refused), responseLost);
   }
 
   /** Sends a request to the cloud; the response is null on a timeout. */
   requestCloud(
-    { node, isUp }: ControllerProcess,
+    process: ControllerProcess,
     timeoutMs: number,
     send: () => Promise<HttpResponse>,
   ): Promise<HttpResponse | null> {
-    return this.request(node, isUp, timeoutMs, send, false);
+    if (this.isCutOff(process.index)) return this.holdBack(timeoutMs, send);
+    return this.request(process, timeoutMs, send, false);
   }
 
   /** Sends a frame from one controller to another and delivers the reply to it. */
   sendFrame(from: ControllerProcess, toIndex: number, frame: Buffer): void {
     this.schedule(ONE_WAY_LATENCY_MS, () => {
       const peer = this.nodes[toIndex];
-      const cut = this.isolatedZone !== null && (from.index === 0 || toIndex === 0);
+      const cut = this.isCutOff(from.index) || this.isCutOff(toIndex);
       if (!from.isUp() || !peer?.up || peer.isolated || from.node.isolated || cut) return;
       const sendReply = (reply: Buffer): void =>
-        this.schedule(ONE_WAY_LATENCY_MS, () =>
-          this.runWhenResumed(from.node, () => this.receiveReply(from, reply)),
-        );
+        this.schedule(ONE_WAY_LATENCY_MS, () => {
+          if (this.isCutOff(from.index) || this.isCutOff(toIndex)) return;
+          this.runWhenResumed(from.node, () => this.receiveReply(from, reply));
+        });
       this.runWhenResumed(peer, () => peer.controller?.receiveFrame(frame, sendReply));
     });
   }
@@ -94,11 +128,13 @@
     return new Promise((resolve) => {
       this.schedule(HEARTBEAT_TIMEOUT_MS, () => resolve(null));
       const node = this.nodes[index] as ControllerNode;
-      const cut = this.isolatedZone !== null && (worker.zone === this.isolatedZone) !== (index === 0);
-      if (worker.heartbeatsLost || cut) return;
+      const isCut = (): boolean => this.isCutBetween(worker, index);
+      if (worker.heartbeatsLost) return;
+      if (isCut() && !this.oneIn(HELD_BACK_ONE_IN)) return;
       // A heartbeat may reach the controller although no response reaches the machine.
       const respond = (response: HttpResponse): void => {
-        if (!worker.responsesLost) this.schedule(ONE_WAY_LATENCY_MS, () => resolve(response));
+        if (worker.responsesLost) return;
+        this.schedule(ONE_WAY_LATENCY_MS, () => (isCut() ? undefined : resolve(response)));
       };
       const arrive = (): void =>
         this.runWhenResumed(node, () => this.receiveHeartbeat(index, worker, heartbeat, respond));
@@ -129,6 +165,18 @@
     worker: FakeWorker,
     heartbeat: object,
     respond: (response: HttpResponse) => void = () => undefined,
+  ): void {
+    this.deliver(
+      () => this.isCutBetween(worker, index),
+      () => this.handleHeartbeat(index, worker, heartbeat, respond),
+    );
+  }
+
+  private handleHeartbeat(
+    index: number,
+    worker: FakeWorker,
+    heartbeat: object,
+    respond: (response: HttpResponse) => void,
   ): void {
     const node = this.nodes[index] as ControllerNode;
     if (!node.up || !node.controller) return;
@@ -153,32 +201,41 @@
 
   /** Sends a request that takes a few milliseconds, sometimes seconds, and may outlive its sender. */
   private request(
-    node: ControllerNode,
-    isUp: () => boolean,
+    { node, index, isUp }: ControllerProcess,
     timeoutMs: number,
     send: () => Promise<HttpResponse>,
     responseLost: boolean,
   ): Promise<HttpResponse | null> {
+    const isCut = (): boolean => this.isCutOff(index);
     return new Promise((resolve) => {
       const slow = this.oneIn(SLOW_REQUEST_ONE_IN);
       const delayMs = slow ? 2000 + this.random.int(6000) : 2 + this.random.int(6);
       const respond = (response: HttpResponse | null): void =>
         this.runWhenResumed(node, () => (isUp() ? resolve(response) : undefined));
       this.schedule(timeoutMs, () => respond(null));
-      this.schedule(delayMs, () => {
+      const execute = (): void =>
         void send().then((response) => {
-          if (!responseLost) this.schedule(ONE_WAY_LATENCY_MS, () => respond(response));
+          if (responseLost || isCut()) return;
+          this.schedule(ONE_WAY_LATENCY_MS, () => (isCut() ? undefined : respond(response)));
         });
-      });
+      this.schedule(delayMs, () => this.deliver(isCut, execute));
     });
   }
 
   /** Applies a write 2 to 12 s late, possibly after newer ones. Its sender has given up on it by then and gets no response. */
   private applyAfterTimeout(
+    index: number,
     timeoutMs: number,
     send: (refused: () => boolean) => Promise<HttpResponse>,
   ): Promise<null> {
-    this.schedule(2000 + this.random.int(10_000), () => void send(() => false));
+    const execute = (): void => void send(() => false);
+    this.schedule(2000 + this.random.int(10_000), () => this.deliver(() => this.isCutOff(index), execute));
+    return this.noResponse(timeoutMs);
+  }
+
+  /** Sends a request during the cut: it is lost, or carried out once the cut ends. Its sender gets no response. */
+  private holdBack(timeoutMs: number, send: () => Promise<HttpResponse>): Promise<null> {
+    if (this.oneIn(HELD_BACK_ONE_IN)) this.heldBack.push(() => void send());
     return this.noResponse(timeoutMs);
   }
 
