What is remembered of machines that are gone is bounded

Seen, in tests with 20,000 machines that come and go: on the sources before, the leader kept the first heartbeats, removed machines, histories and transfers of all 20,000.

Cause: nothing removed entries from MachineTransferGuard, MachineRegistry and FleetHistory.

Why the fix works: entries are kept as long as they can matter: transfers for the residence time, unknown machines for ten minutes, removed ones for an hour, histories until the machine is neither listed nor recorded. Forgetting an unknown machine never makes a record easier, because two newer heartbeats are needed again.

--- a/packages/load-balancer/src/machine-transfer-guard.ts
+++ b/packages/load-balancer/src/machine-transfer-guard.ts
@@ -47,6 +47,7 @@
   /** Shown in `GET /status`. */
   readonly counters = { allowed: 0, refused: 0 };
   private readonly budget: MoveBudget;
+  /** Transfers within the minimum residence time, oldest first. */
   private readonly lastTransfers = new Map<string, { from: string; transferredAt: number }>();
   private readonly refusalCounts = new Map<TransferReason, number>();
 
@@ -64,6 +65,7 @@
     machineCount: number,
     drainingCount: number,
   ): MachineTransferDecision {
+    this.dropEndedResidences(now);
     const decision = this.decide(transfer, now, machineCount, drainingCount);
     if (!decision.allowed) {
       this.counters.refused++;
@@ -72,6 +74,8 @@
     }
     this.counters.allowed++;
     const { machine, fromPartition, toPartition, drain } = transfer;
+    // Deleted first, so that the machine moves to the end of the map.
+    this.lastTransfers.delete(machine);
     this.lastTransfers.set(machine, { from: fromPartition, transferredAt: now });
     // Recorded for the limit per minute only; the guard never looks up a cause.
     if (drain) this.budget.recordMove(machine, { kind: 'make-room', job: toPartition }, now);
@@ -83,9 +87,17 @@
     return [...this.refusalCounts].map(([reason, count]) => ({ reason, count }));
   }
 
-  /** Deletes the recorded transfers of machines that are not known any more. */
-  pruneMachines(isKnown: (machine: string) => boolean): void {
-    for (const id of this.lastTransfers.keys()) if (!isKnown(id)) this.lastTransfers.delete(id);
+  /** Number of transfers that are remembered. */
+  get rememberedTransfers(): number {
+    return this.lastTransfers.size;
+  }
+
+  /** Forgets the transfers that prevent no return any more. */
+  private dropEndedResidences(now: number): void {
+    for (const [machine, { transferredAt }] of this.lastTransfers) {
+      if (now - transferredAt < this.settings.min_residence_s * 1000) return;
+      this.lastTransfers.delete(machine);
+    }
   }
 
   private decide(
@@ -94,7 +106,7 @@
     machineCount: number,
     drainingCount: number,
   ): MachineTransferDecision {
-    if (this.returnsTooSoon(transfer, now)) return refusal('moved back too soon');
+    if (this.returnsTooSoon(transfer)) return refusal('moved back too soon');
     // Moving an empty machine costs nothing, so it is only prevented from moving back and forth.
     if (!transfer.drain) return { allowed: true, reason: 'allowed', fromS: null, toS: null };
     const from = this.summaries.fresh(transfer.fromPartition, now);
@@ -108,9 +120,9 @@
     return { allowed: true, reason: 'allowed', fromS, toS };
   }
 
-  private returnsTooSoon({ machine, toPartition }: MachineTransfer, now: number): boolean {
+  private returnsTooSoon({ machine, toPartition }: MachineTransfer): boolean {
     const last = this.lastTransfers.get(machine);
-    return last?.from === toPartition && now - last.transferredAt < this.settings.min_residence_s * 1000;
+    return last?.from === toPartition;
   }
 }
 
--- a/packages/load-balancer/test/machine-transfer-guard.test.ts
+++ b/packages/load-balancer/test/machine-transfer-guard.test.ts
@@ -64,3 +64,18 @@
     const summaries = new SummaryStore(settings.summary_max_age_s * 1000);
     run(new MachineTransferGuard(settings, summaries), summaries);
   });
+
+// Guards against memory that grows with every machine that is transferred, for as long as the process runs.
+test('only transfers within the residence time are remembered', () => {
+  const settings = balancerSettingsSchema.parse({ min_residence_s: 30 });
+  const guard = new MachineTransferGuard(settings, new SummaryStore(5000));
+  let most = 0;
+  for (let i = 0; i < 20_000; i++) {
+    const now = i * 100;
+    assert.equal(guard.review({ ...transfer, machine: `m${i}`, drain: false }, now, 100, 0).allowed, true);
+    const back = { ...transfer, machine: `m${i}`, fromPartition: 'p1', toPartition: 'p0', drain: false };
+    assert.equal(guard.review(back, now, 100, 0).reason, 'moved back too soon');
+    most = Math.max(most, guard.rememberedTransfers);
+  }
+  assert.ok(most <= 300, `${most} transfers`);
+});
--- a/src/coordination/fleet/fleet-history.ts
+++ b/src/coordination/fleet/fleet-history.ts
@@ -35,6 +35,16 @@
     this.machines.clear();
   }
 
+  /** Number of machines with a history. */
+  get size(): number {
+    return this.machines.size;
+  }
+
+  /** Drops the histories of all machines but these. A machine that appears again gets a history that begins then. */
+  retain(isKnown: (id: string) => boolean): void {
+    for (const id of this.machines.keys()) if (!isKnown(id)) this.machines.delete(id);
+  }
+
   /** Returns a machine's history. For an unknown machine, creates one that begins now. */
   getOrCreateHistory(id: string, now: number): MachineHistory {
     const known = this.machines.get(id);
--- a/src/coordination/leader/machine-list-reconciler.ts
+++ b/src/coordination/leader/machine-list-reconciler.ts
@@ -52,6 +52,7 @@
       if (!registry.knows(machine.name)) registry.register(machine.name, machine);
     }
     this.markUnlisted(names, requestedAt, now);
+    history.retain((id) => names.has(id) || registry.knows(id));
   }
 
   /**
--- a/src/coordination/leader/machine-registry.ts
+++ b/src/coordination/leader/machine-registry.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '../../transport/clock';
+import { ExpiringMap } from '../../transport/expiring-map';
 import { type Log } from '../../transport/log';
 import { planFleetEdit } from '../../storage/fleet-edit';
 import { RejectedMachines } from '../../storage/rejected-machines';
@@ -16,6 +17,10 @@
 /** Distinguishes the fleet values that a leader splits off from those to which it first writes new machines. */
 const REMOVAL_NAME_PREFIX = 'removal-';
 const REPLICA_CATCH_UP_TIMEOUT_MS = 2000;
+/** Copies of heartbeats arrive minutes late. After this time, one more of a machine that is gone costs only a needless record. */
+const REMOVED_RETENTION_MS = 3_600_000;
+/** A machine that is alive sends its second heartbeat much sooner; one that is forgotten must send two again. */
+const FIRST_HEARTBEAT_RETENTION_MS = 600_000;
 
 export interface MachineRegistryDependencies {
   settings: Settings;
@@ -35,7 +40,7 @@
   leaderTerm = 0;
   private readonly writer: NewMachineWriter;
   /** Machines whose records were removed and that were not recorded again. */
-  private readonly removed = new Set<string>();
+  private readonly removed = new ExpiringMap<string, true>(REMOVED_RETENTION_MS);
   /** The partition of each machine that is being recorded. */
   private readonly recording = new Map<string, string>();
   private readonly pendingBatch = new Map<string, MachineRecord>();
@@ -45,17 +50,29 @@
   private readonly rejectedRemovals: RejectedMachines;
   private editCount = 0;
   /** The first heartbeat of each machine that sends heartbeats but is not recorded. */
-  private readonly firstHeartbeats = new Map<string, Pick<Heartbeat, 'agentEpoch' | 'sequence'>>();
+  private readonly firstHeartbeats = new ExpiringMap<string, Pick<Heartbeat, 'agentEpoch' | 'sequence'>>(
+    FIRST_HEARTBEAT_RETENTION_MS,
+  );
 
   constructor(private readonly deps: MachineRegistryDependencies) {
     this.writer = new NewMachineWriter(deps);
     this.rejectedRemovals = new RejectedMachines(deps.log);
     deps.replica.events.subscribe((event) => {
-      if (event.kind === 'machine-removed') this.removed.add(event.id);
-      else if (event.kind === 'machine') this.removed.delete(event.id);
+      if (event.kind === 'machine-removed') this.removed.set(event.id, true, deps.clock.steady());
+      else if (event.kind === 'machine') this.handleRecorded(event.id);
     });
   }
 
+  private handleRecorded(id: string): void {
+    this.removed.delete(id);
+    this.firstHeartbeats.delete(id);
+  }
+
+  /** Number of unrecorded machines that are remembered. */
+  get rememberedMachines(): number {
+    return this.removed.size + this.firstHeartbeats.size;
+  }
+
   /** Whether a machine is recorded or being recorded. */
   knows(id: string): boolean {
     return this.deps.replica.machines.has(id) || this.recording.has(id);
@@ -111,7 +128,7 @@
   handleUnknownMachineHeartbeat(heartbeat: Heartbeat): void {
     const { machine, agentEpoch, sequence } = heartbeat;
     const first = this.firstHeartbeats.get(machine);
-    if (!first) this.firstHeartbeats.set(machine, { agentEpoch, sequence });
+    if (!first) this.firstHeartbeats.set(machine, { agentEpoch, sequence }, this.deps.clock.steady());
     const isNewer =
       first &&
       (agentEpoch > first.agentEpoch || (agentEpoch === first.agentEpoch && sequence > first.sequence));
