Split the demands off the load of a partition, and a pass off task placement

partition-load.ts had one function for the summary of all machines and one for the demands; the demands are a module of their own now, with the team quota, the demand of a job and the merge each in one place. placeTasks in task-placement.ts hands the jobs of one priority to a function of its own.

--- /dev/null
+++ b/src/coordination/partition/partition-demands.ts
@@ -0,0 +1,82 @@
+import { type Demand } from '../../protocol/peers';
+import { type ResourceQuota } from '../../protocol/settings';
+import { type PartitionJob } from './job';
+import { type PartitionState } from './partition-state';
+import { eligibleZones } from './placement';
+import { countWithinQuota } from './resources';
+
+/**
+ * The demands of a partition's pending tasks, in scheduling order. Tasks that need the same machines share a demand, and each team
+ * demands no more than its quota allows.
+ */
+export function partitionDemands(partition: PartitionState, now: number): Demand[] {
+  const demandsByKey = new Map<string, Demand>();
+  const quota = new RemainingQuota(partition);
+  const allZones = new Set([...partition.machineTypes().values()].flatMap((type) => type.zones));
+  for (const job of partition.jobsInSchedulingOrder()) {
+    if (job.pendingCount === 0 || job.state !== 'open') continue;
+    // A job that fails everywhere counts at most with the one task that may be started, so that no machines are provisioned for it.
+    const tasks = quota.take(job, Math.min(job.pendingCount, job.maxNewStarts(now)));
+    if (tasks > 0) addDemand(demandsByKey, demandOf(partition, job, tasks, allZones));
+  }
+  return [...demandsByKey.values()];
+}
+
+/** What is left of each team's quota while the demands of its jobs are added up. */
+class RemainingQuota {
+  private readonly remainingByTeam = new Map<string, ResourceQuota>();
+
+  constructor(private readonly partition: PartitionState) {}
+
+  /** Takes the quota of up to `maxTasks` tasks of a job, and returns their number. */
+  take({ spec }: PartitionJob, maxTasks: number): number {
+    const remaining = this.remainingOf(spec.team);
+    const tasks = Math.min(maxTasks, countWithinQuota(remaining, spec));
+    remaining.cpus -= tasks * spec.cpus;
+    remaining.accelerators -= tasks * spec.accelerators;
+    return tasks;
+  }
+
+  private remainingOf(team: string): ResourceQuota {
+    const known = this.remainingByTeam.get(team);
+    if (known) return known;
+    const remaining = this.partition.quota.remaining(team);
+    this.remainingByTeam.set(team, remaining);
+    return remaining;
+  }
+}
+
+function demandOf(
+  partition: PartitionState,
+  job: PartitionJob,
+  tasks: number,
+  allZones: ReadonlySet<string>,
+): Demand {
+  const { workload, cpus, accelerators, memoryGb, machineTypes, spot, priority } = job.spec;
+  const zones = eligibleZones(job.spec, allZones, inFlightByZone(job));
+  const expectedS = partition.estimates.expectedSeconds(job.spec);
+  return { workload, cpus, accelerators, memoryGb, machineTypes, zones, spot, priority, tasks, expectedS };
+}
+
+/** Adds a demand, or adds its tasks to the demand for the same machines. */
+function addDemand(demandsByKey: Map<string, Demand>, demand: Demand): void {
+  const { workload, cpus, accelerators, memoryGb, machineTypes, zones, spot, tasks, expectedS } = demand;
+  const key = JSON.stringify([workload, cpus, accelerators, memoryGb, machineTypes, zones, spot]);
+  const existing = demandsByKey.get(key);
+  if (!existing) {
+    demandsByKey.set(key, demand);
+    return;
+  }
+  existing.expectedS = (existing.expectedS * existing.tasks + expectedS * tasks) / (existing.tasks + tasks);
+  existing.tasks += tasks;
+  // A job that has waited long may come before more urgent ones; their priority must not be lost.
+  existing.priority = Math.min(existing.priority, demand.priority);
+}
+
+/** Number of tasks in flight in each zone for a job that must share or spread over zones; empty for any other job. */
+function inFlightByZone({ spec, inFlight }: PartitionJob): Map<string, number> {
+  const zones = new Map<string, number>();
+  if (!spec.singleZone && !spec.spreadZones) return zones;
+  for (const { record } of inFlight.values()) zones.set(record.zone, (zones.get(record.zone) ?? 0) + 1);
+  return zones;
+}
--- a/src/coordination/partition/task-placement.ts
+++ b/src/coordination/partition/task-placement.ts
@@ -206,24 +206,33 @@
     if (!free || free.cpus <= 0) return;
     this.context.counters.placementPasses++;
     const queue = this.context.jobsInSchedulingOrder();
-    const allConfirmed = this.context.unconfirmedCount === 0;
     for (let from = 0; from < queue.length && free.cpus > 0;) {
       const priority = queue[from]?.effectivePriority;
-      let to = from;
-      for (; to < queue.length && queue[to]?.effectivePriority === priority; to++) {
-        const job = queue[to] as PartitionJob;
-        if (job.startableCount(allConfirmed) === 0 || !machine.images.has(job.spec.image)) continue;
-        if (now - job.firstSeenAt < MAX_IMAGE_PRECEDENCE_MS)
-          this.startFitting(job, machine, free, commands, now);
-      }
-      for (let i = from; i < to; i++) {
-        const job = queue[i] as PartitionJob;
-        if (job.startableCount(allConfirmed) > 0) this.startFitting(job, machine, free, commands, now);
-      }
+      let to = from + 1;
+      while (to < queue.length && queue[to]?.effectivePriority === priority) to++;
+      this.placeJobs(queue.slice(from, to), machine, free, commands, now);
       from = to;
     }
   }
 
+  /** Starts pending tasks of jobs of one priority on a machine, in the two passes of `placeTasks`. */
+  private placeJobs(
+    jobs: readonly PartitionJob[],
+    machine: MachineState,
+    free: Resources,
+    commands: Command[],
+    now: number,
+  ): void {
+    const allConfirmed = this.context.unconfirmedCount === 0;
+    for (const job of jobs) {
+      if (job.startableCount(allConfirmed) === 0 || !machine.images.has(job.spec.image)) continue;
+      if (now - job.firstSeenAt < MAX_IMAGE_PRECEDENCE_MS)
+        this.startFitting(job, machine, free, commands, now);
+    }
+    for (const job of jobs)
+      if (job.startableCount(allConfirmed) > 0) this.startFitting(job, machine, free, commands, now);
+  }
+
   private startFitting(
     job: PartitionJob,
     machine: MachineState,
