Values are limited by the size of a transaction too

With value_kb of 64 or more, a value that is filled up did not fit into one transaction of 64 KiB, so its write would have been rejected. Found by reading; the new rows of test/protocol/settings.test.ts fail on the sources before (the body is too large). Values are limited to 56 KiB whatever the settings allow, which leaves room for keys and conditions.

--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { ConfigError } from './config-error';
+import { MAX_TRANSACTION_BYTES } from './store';
 
 /*
  * The platform's settings, which it writes as JSON for each controller. Field names are the platform's: `serve_on` is the
@@ -61,6 +62,9 @@
 /** Values stay below the store's limit by this much, because the store may reject a value that fills it to the last byte. */
 const VALUE_MARGIN_BYTES = 64;
 
+/** A value must also fit into a transaction, with its key and conditions. */
+const MAX_VALUE_BYTES = MAX_TRANSACTION_BYTES - 8 * 1024;
+
 /** A team and its share of the cluster. */
 export interface Team {
   name: string;
@@ -156,7 +160,7 @@
     stateStoreLimits: {
       requestRate: raw.facts.state.rps,
       writeRate: raw.facts.state.write_rps,
-      valueBytes: raw.facts.state.value_kb * 1024 - VALUE_MARGIN_BYTES,
+      valueBytes: Math.min(raw.facts.state.value_kb * 1024 - VALUE_MARGIN_BYTES, MAX_VALUE_BYTES),
       txnOps: raw.facts.state.txn_ops,
     },
     cloudRequestRate: raw.facts.cloud.rps,
--- a/test/protocol/settings.test.ts
+++ b/test/protocol/settings.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { parseSettings, type ResourceQuota } from '../../src/protocol/settings';
+import { transactionBody } from '../../src/protocol/store';
 import { SubmissionBatcher } from '../../src/storage/submission-batcher';
+import { transactionError, type TransactionBody } from '../standin/transaction-limits';
 import { jobSpec } from '../support/job-spec';
 import { SETTINGS } from '../support/settings-file';
 import { StoreFixture } from '../support/store-fixture';
@@ -68,3 +70,15 @@
   const options = { valueBytes: stateStoreLimits.valueBytes, txnOps: 1, processIncarnation: 'a' };
   assert.equal(new SubmissionBatcher({ stateStore, replica, clock }, options).fitsInValue(job), true);
 });
+
+// Guards against values that the limit on a value allows, but that of 64 KiB on a whole transaction does not.
+test('settings: a value fits into a transaction, however large values may be', () => {
+  for (const valueKb of [64, 1024]) {
+    const { stateStoreLimits } = parseSettings(JSON.stringify(withStateLimits({ value_kb: valueKb })));
+    const { valueBytes, txnOps } = stateStoreLimits;
+    const write = { put: 'k'.repeat(200), value: 'x'.repeat(valueBytes - 2) };
+    const conditions = Array.from({ length: 20 }, () => ({ key: 'k'.repeat(200), revision: 1_000_000_000 }));
+    const body = JSON.parse(JSON.stringify(transactionBody(conditions, [write]))) as TransactionBody;
+    assert.equal(transactionError(body, { valueKb, txnOps }), null);
+  }
+});
