Encode the values of new machines once, and skip the copy of changes if nothing was rejected

The writer of new machines encoded each value again for every transaction that it divided, and RejectedMachines copied all changes also when nothing was ever rejected, which is the usual case. Behaviour is unchanged.

--- a/src/coordination/leader/new-machine-writer.ts
+++ b/src/coordination/leader/new-machine-writer.ts
@@ -68,7 +68,8 @@
     const { txnOps } = this.deps.settings.stateStoreLimits;
     const transactions: NewValue[][] = [];
     for (let remaining = values; remaining.length > 0;) {
-      const count = writesThatFit(remaining.map(toWrite), txnOps).length;
+      const writes = remaining.map(({ write }) => write);
+      const count = writesThatFit(writes, txnOps).length;
       transactions.push(remaining.slice(0, count));
       remaining = remaining.slice(count);
     }
@@ -86,9 +87,9 @@
     isCurrent: () => boolean,
   ): Promise<boolean> {
     const { membership, stateStore, clock } = this.deps;
-    const absent = values.map(({ key }) => ({ key, revision: 0 }));
+    const absent = values.map(({ write }) => ({ key: write.put, revision: 0 }));
     const conditions = [{ key: keys.leader, revision: leaderTerm }, ...absent];
-    const writes = values.map(toWrite);
+    const writes = values.map(({ write }) => write);
     let outcomeUnknown = false;
     while (isCurrent()) {
       if (membership.mayAct()) {
@@ -99,7 +100,7 @@
       }
       await sleep(clock, RETRY_DELAY_MS);
     }
-    if (!outcomeUnknown) for (const { key } of values) this.settledKeys.add(key);
+    if (!outcomeUnknown) for (const { write } of values) this.settledKeys.add(write.put);
     return false;
   }
 
@@ -162,19 +163,15 @@
 
   private newValue(partition: string, machines: readonly MachineWrite[], leaderTerm: number): NewValue {
     const key = keys.fleet(partition, initialFleetValueName(leaderTerm, ++this.valueCount));
-    return { key, partition, machines };
+    return { partition, machines, write: { put: key, value: encodeFleet(machines) } };
   }
 }
 
 /** A value that holds new machines of one partition. */
 interface NewValue {
-  key: string;
   partition: string;
   machines: readonly MachineWrite[];
-}
-
-function toWrite({ key, machines }: NewValue): Write {
-  return { put: key, value: encodeFleet(machines) };
+  write: Extract<Write, { put: string }>;
 }
 
 function groupByPartition(machines: readonly [string, MachineRecord][]): Map<string, MachineWrite[]> {
--- a/src/storage/rejected-machines.ts
+++ b/src/storage/rejected-machines.ts
@@ -20,6 +20,7 @@
 
   /** The changes to plan next: one that must be tried alone, otherwise all that are not excluded. */
   changesToTry(changes: FleetChanges): FleetChanges {
+    if (this.suspects.size === 0 && this.excluded.size === 0) return changes;
     const allowed = [...changes].filter(([id]) => !this.excluded.has(id));
     const suspect = allowed.find(([id]) => this.suspects.has(id));
     return new Map(suspect ? [suspect] : allowed);
