--- a/src/coordination/leader/machine-registry.ts
+++ b/src/coordination/leader/machine-registry.ts
@@ -17,7 +17,7 @@
 /** Distinguishes the fleet values that a leader splits off from those to which it first writes new machines. */
 const REMOVAL_NAME_PREFIX = 'removal-';
 const REPLICA_CATCH_UP_TIMEOUT_MS = 2000;
-/** Copies of heartbeats arrive minutes late. After this time, one more of a machine that is gone costs only a needless record. */
+/** Copies of heartbeats arrive minutes late. A copy that arrives after this time leads only to a record that is removed again. */
 const REMOVED_RETENTION_MS = 3_600_000;
 /** A machine that is alive sends its second heartbeat much sooner; one that is forgotten must send two again. */
 const FIRST_HEARTBEAT_RETENTION_MS = 600_000;
--- a/src/coordination/partition/partition-demands.ts
+++ b/src/coordination/partition/partition-demands.ts
@@ -22,7 +22,7 @@
   return [...demandsByKey.values()];
 }
 
-/** What is left of each team's quota while the demands of its jobs are added up. */
+/** The remaining quota of each team while the demands of its jobs are added up. */
 class RemainingQuota {
   private readonly remainingByTeam = new Map<string, ResourceQuota>();
 
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -10,7 +10,7 @@
 
 const address = z.string().regex(/^[0-9.]+:[0-9]+$/, 'must be an IPv4 address and a port');
 const amount = z.number().nonnegative();
-/** The stored form of the smallest job, with the room that values leave free, takes nearly as much. */
+/** About the size of the smallest stored job with `VALUE_MARGIN_BYTES` and the overhead of a batch. */
 const MIN_VALUE_KB = 0.3;
 
 const settingsSchema = z.object({
--- a/src/storage/fleet-edit.ts
+++ b/src/storage/fleet-edit.ts
@@ -144,7 +144,7 @@
     return this.replica.fleetInKey(machine.key).has(id) ? machine.key : null;
   }
 
-  /** The partition that a change moves a machine to; null if the machine stays or is gone. */
+  /** The partition that a change transfers a machine to; null if it stays in this one, or its record is removed. */
   private targetOf(change: MachineRecord | null): string | null {
     return change !== null && change.partition !== this.partition ? change.partition : null;
   }
@@ -187,7 +187,7 @@
     return packIntoOne(machines, this.limits.valueBytes * MAX_MERGED_SIZE_RATIO);
   }
 
-  /** One value if all machines fit into it, otherwise parts that leave room for later edits; null if a machine fits into none. */
+  /** One value if all machines fit into it, otherwise parts that are at most 0.6 full; null if a machine fits into no value. */
   private packMachines(machines: readonly MachineWrite[]): unknown[][] | null {
     const { valueBytes } = this.limits;
     const single = packIntoOne(machines, valueBytes);
--- a/src/storage/fleet-packer.ts
+++ b/src/storage/fleet-packer.ts
@@ -1,6 +1,6 @@
 import { FleetValueBuilder, type FleetWrite } from '../protocol/records';
 
-/** A machine, by id, and its record as it is to be written. */
+/** The id of a machine and the record to write for it. */
 export type MachineWrite = readonly [string, FleetWrite];
 
 interface Part {
--- a/src/storage/progress-slots.ts
+++ b/src/storage/progress-slots.ts
@@ -12,7 +12,7 @@
 /** Expected average size of a job in a value; determines how many jobs are assigned to a value. */
 const EXPECTED_BYTES_PER_JOB = 256;
 
-/** No range has fewer characters, so that done ranges truncated to less are empty. */
+/** Done ranges truncated to less than this length are empty. */
 const MIN_RANGES_LENGTH = 0.5;
 
 /**
--- a/src/storage/transaction-size.ts
+++ b/src/storage/transaction-size.ts
@@ -15,11 +15,11 @@
 
 /** Conditions that the sender of a planned transaction may add, on the leader or on the epoch of a partition. */
 const ADDED_CONDITIONS = 1;
-/** Room for the added conditions, whose keys have up to 200 bytes. */
+/** Bytes reserved for the added conditions, whose keys have up to 200 bytes. */
 const ADDED_CONDITION_BYTES = 256;
-/** Room for what surrounds the writes of a transaction, with the added conditions. */
+/** Bytes reserved for punctuation and the added conditions. */
 const TRANSACTION_OVERHEAD_BYTES = 512;
-/** Room for the condition on the key of a write, which has up to 200 bytes. */
+/** Bytes reserved for the condition on the key of a write, which has up to 200 bytes. */
 const WRITE_CONDITION_BYTES = 256;
 
 /** Whether a transaction stays within the state store's limits on its operations, its conditions and its size. */
