Test edits of fleet values by this build and the earlier one in turn

In a rolling upgrade, controllers of the earlier build edit the values that this one splits, and the other way round. No edit of this build is rejected, and no machine is lost or doubled.

--- a/test/storage/fleet-edit.test.ts
+++ b/test/storage/fleet-edit.test.ts
@@ -3,6 +3,7 @@
 import { type FleetEntry, type MachineRecord } from '../../src/protocol/records';
 import { planFleetEdit, type FleetChanges } from '../../src/storage/fleet-edit';
 import { RandomSource } from '../cluster/random-source';
+import { planEarlierFleetEdit } from '../support/earlier-fleet-edit';
 import { FleetStore, type PlannedTransaction } from '../support/fleet-store';
 
 const PARTITIONS = ['p0', 'p1', 'p2'];
@@ -38,6 +39,8 @@
     private readonly random: RandomSource,
     valueKb: number,
     txnOps: number,
+    /** Whether controllers of the earlier build plan some of the edits. */
+    private readonly withEarlierBuild = false,
   ) {
     this.store = new FleetStore({ valueKb, txnOps });
     this.limits = { valueBytes: valueKb * 1024 - VALUE_MARGIN_BYTES, txnOps };
@@ -111,6 +114,7 @@
   /** Plans and applies edits until all changes are made. */
   private applyUntilDone({ partition, changes }: { partition: string; changes: FleetChanges }): void {
     const pending = new Map(changes);
+    if (this.withEarlierBuild && this.random.int(2) === 0) this.applyEarlierEdit(partition, pending);
     while (pending.size > 0) {
       const edit = this.plan(partition, pending);
       assert.ok(edit.ids.length > 0, `an edit of ${pending.size} machines makes no progress`);
@@ -121,6 +125,19 @@
     }
   }
 
+  /** Has a controller of the earlier build make the first changes; the store may reject its edit. */
+  private applyEarlierEdit(partition: string, pending: Map<string, MachineRecord | null>): void {
+    const name = `${partition}-6-${++this.nameCount}`;
+    const edit = planEarlierFleetEdit(this.store.replica, partition, pending, name, this.limits);
+    if (edit.ids.length === 0 || !this.store.apply(edit)) {
+      this.store.rejections.length = 0;
+      return;
+    }
+    this.applied.push(edit);
+    this.expectChanges(pickChanges(pending, edit.ids));
+    for (const id of edit.ids) pending.delete(id);
+  }
+
   private plan(partition: string, changes: FleetChanges): ReturnType<typeof planFleetEdit> {
     return planFleetEdit(
       this.store.replica,
@@ -189,6 +206,19 @@
   }
 });
 
+// Guards against values of one build that the other loses machines from, or cannot edit, during a rolling upgrade.
+test('controllers of the earlier build edit what this one wrote, and the other way round', async (t) => {
+  for (const [valueKb, txnOps] of [
+    [1, 4],
+    [4, 12],
+    [32, 24],
+  ] as const)
+    for (const seed of SEEDS)
+      await t.test(`values of ${valueKb} KiB, ${txnOps} operations, seed ${seed}`, () =>
+        new FleetEditHistory(new RandomSource(seed), valueKb, txnOps, true).run(),
+      );
+});
+
 const LIMITS = { valueBytes: 4 * 1024 - VALUE_MARGIN_BYTES, txnOps: 12 };
 const STORE_LIMITS = { valueKb: 4, txnOps: 12 };
 const RECORD: MachineRecord = {
