--- a/review/standin/deployment.mjs
+++ b/review/standin/deployment.mjs
@@ -13,6 +13,8 @@
 export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 export const now = () => performance.now();
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 18_000;
 const PROBE_MS = 1000;
 const MAX_CASE_MS = 117_000;
 
@@ -37,12 +39,21 @@
   ],
 };
 
+/** Free ports below those from which the system takes the ports of outgoing connections. */
 export async function freePorts(n) {
-  const servers = Array.from({ length: n }, () => createServer().listen(0, '127.0.0.1'));
-  await Promise.all(servers.map((s) => new Promise((r) => s.once('listening', r))));
-  const ports = servers.map((s) => s.address().port);
-  await Promise.all(servers.map((s) => new Promise((r) => s.close(r))));
-  return ports;
+  const ports = new Set();
+  while (ports.size < n) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    const server = createServer();
+    const free = await new Promise((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => resolve(true));
+    });
+    if (!free) continue;
+    await new Promise((resolve) => server.close(resolve));
+    ports.add(port);
+  }
+  return [...ports];
 }
 
 export class Deployment {
