--- a/review/standin/deployment.mjs
+++ b/review/standin/deployment.mjs
@@ -124,6 +124,7 @@
   }
   /** Runs the `run` command of the deploy file; the settings file is appended. */
   startController(name) {
+    if (this.stopped) return;
     const run = /^run = "(.*)"$/m.exec(readFileSync(join(ROOT, 'deploy', 'service.toml'), 'utf8'))[1];
     const [program, ...args] = run.split(' ');
     const child = spawn(program, [...args, join(this.folder, `${name}.json`)], {
@@ -202,6 +203,7 @@
     return (await call(this.nodes.get(name), 'GET', '/status', undefined, 2000))?.body ?? null;
   }
   async stop() {
+    this.stopped = true;
     clearInterval(this.prober);
     for (const child of this.processes.values()) {
       if (child.exitCode === null && child.signalCode === null) {
