--- a/src/coordination/leader/fleet-planner.ts
+++ b/src/coordination/leader/fleet-planner.ts
@@ -14,6 +14,7 @@
 import { type MachineDeprovisioner } from './machine-deprovisioner';
 import { type MachineProvisioner } from './machine-provisioner';
 import { type PartitionLoads } from './partition-loads';
+import { unservedTeams } from './team-partitions';
 
 const MIN_PLANNING_INTERVAL_MS = 500;
 /** Interval of planning without new partition loads, when there is little to decide, and upper bound of the pacer's interval. */
@@ -132,11 +133,13 @@
   private logStatus(loads: readonly PartitionLoad[], machines: readonly FleetMachine[], now: number): void {
     if (now - this.statusLoggedAt < STATUS_LOG_INTERVAL_MS) return;
     this.statusLoggedAt = now;
-    const { settings, catalog, deprovisioner, log } = this.deps;
+    const { settings, replica, catalog, deprovisioner, log } = this.deps;
     const partitions = loads.map((load) =>
       fleetSummary(load, machines, catalog.types, settings.heartbeatIntervalMs),
     );
-    log.info({ partitions, scaledIn: deprovisioner.takeCountsByReason() }, 'fleet status');
+    const unserved = unservedTeams(settings.teams, replica.partitions.values()).map(({ name }) => name);
+    const scaledIn = deprovisioner.takeCountsByReason();
+    log.info({ partitions, unservedTeams: unserved, scaledIn }, 'fleet status');
   }
 }
 
--- a/src/coordination/leader/partition-assignment.ts
+++ b/src/coordination/leader/partition-assignment.ts
@@ -5,10 +5,11 @@
 import { keys } from '../../protocol/keys';
 import { type PartitionRecord } from '../../protocol/records';
 import { type PeerMessage } from '../../protocol/peers';
-import { type Settings, type Team } from '../../protocol/settings';
+import { type Settings } from '../../protocol/settings';
 import { type LeaseExtensions } from '../membership/lease-extension';
 import { Reachability } from '../membership/reachability';
 import { type PartitionLoads } from './partition-loads';
+import { splitTeams } from './team-partitions';
 
 /** Two controllers can handle all heartbeats. With more partitions, more machines are idle in one while another lacks them. */
 const MAX_PARTITION_COUNT = 2;
@@ -21,21 +22,6 @@
 /** Counted for the leader in addition to its partitions, so that partitions go to other members first. */
 const LEADER_PARTITION_WEIGHT = 0.5;
 
-/** Splits the teams into at most `count` partitions with about the same total of guaranteed CPUs. */
-export function splitTeams(teams: readonly Team[], count: number): string[][] {
-  const partitions: { teams: string[]; cpus: number }[] = [];
-  for (let i = 0; i < Math.min(count, teams.length); i++) partitions.push({ teams: [], cpus: 0 });
-  const largestFirst = [...teams].sort(
-    (a, b) => b.guaranteed.cpus - a.guaranteed.cpus || (a.name < b.name ? -1 : 1),
-  );
-  for (const team of largestFirst) {
-    const smallest = partitions.reduce((a, b) => (b.cpus < a.cpus ? b : a));
-    smallest.teams.push(team.name);
-    smallest.cpus += Math.max(1, team.guaranteed.cpus);
-  }
-  return partitions.map((p) => p.teams);
-}
-
 export interface PartitionAssignmentDependencies {
   settings: Settings;
   /** The leader's own member name. */
--- /dev/null
+++ b/src/coordination/leader/team-partitions.ts
@@ -0,0 +1,24 @@
+/** The division of the teams into partitions. */
+import { type StoredPartition } from '../../storage/replica-view';
+import { type Team } from '../../protocol/settings';
+
+/** Splits the teams into at most `count` partitions with about the same total of guaranteed CPUs. */
+export function splitTeams(teams: readonly Team[], count: number): string[][] {
+  const partitions: { teams: string[]; cpus: number }[] = [];
+  for (let i = 0; i < Math.min(count, teams.length); i++) partitions.push({ teams: [], cpus: 0 });
+  const largestFirst = [...teams].sort(
+    (a, b) => b.guaranteed.cpus - a.guaranteed.cpus || (a.name < b.name ? -1 : 1),
+  );
+  for (const team of largestFirst) {
+    const smallest = partitions.reduce((a, b) => (b.cpus < a.cpus ? b : a));
+    smallest.teams.push(team.name);
+    smallest.cpus += Math.max(1, team.guaranteed.cpus);
+  }
+  return partitions.map((p) => p.teams);
+}
+
+/** The teams that belong to none of the partitions. No controller schedules their jobs. */
+export function unservedTeams(teams: readonly Team[], partitions: Iterable<StoredPartition>): Team[] {
+  const served = new Set([...partitions].flatMap(({ record }) => record.teams));
+  return teams.filter(({ name }) => !served.has(name));
+}
