Create a partition for every team that belongs to none

What callers saw: after the first leader of a new cluster had ended between its first two records, jobs of half of the teams were accepted and never run, and a cancellation of one got 503 for as long as it was repeated. No restart and no change of leader ended it.

Cause: a leader created partitions only if there was none at all, one record after the other, and ignored the outcome. Whether one is missing was decided from their number, not from the teams.

Change: at each round the leader creates partitions for the teams that belong to none, up to the number that there should be. Each creation is conditional on the leader's term and on all partition records that the plan assumes.

A plan that is repeated uses the same ids; each applied attempt changes a record that every other one is conditional on, so a late attempt cannot give a team to a second partition.

--- a/src/coordination/leader/partition-assignment.ts
+++ b/src/coordination/leader/partition-assignment.ts
@@ -5,11 +5,12 @@
 import { keys } from '../../protocol/keys';
 import { type PartitionRecord } from '../../protocol/records';
 import { type PeerMessage } from '../../protocol/peers';
+import { type Condition } from '../../protocol/store';
 import { type Settings } from '../../protocol/settings';
 import { type LeaseExtensions } from '../membership/lease-extension';
 import { Reachability } from '../membership/reachability';
 import { type PartitionLoads } from './partition-loads';
-import { splitTeams } from './team-partitions';
+import { planPartitions, unservedTeams } from './team-partitions';
 
 /** Two controllers can handle all heartbeats. With more partitions, more machines are idle in one while another lacks them. */
 const MAX_PARTITION_COUNT = 2;
@@ -49,6 +50,8 @@
   epoch: number;
   /** The previous owner if its session lease has expired and it has not rejoined, else null. */
   failedOwner: string | null;
+  /** Further records that must not have changed. */
+  unchanged?: readonly Condition[];
 }
 
 /**
@@ -64,7 +67,7 @@
 
   constructor(private readonly deps: PartitionAssignmentDependencies) {}
 
-  /** Creates the partitions if there are none, assigns an owner to those without a live one, and starts handovers. */
+  /** Assigns an owner to the partitions without a live one, creates those that are missing, and starts handovers. */
   async assign(now: number, leaderTerm: number, leaderSince: number): Promise<void> {
     if (this.assigning) return;
     const partitions = [...this.deps.replica.partitions.values()];
@@ -73,8 +76,8 @@
     this.leaderTerm = leaderTerm;
     const counts = this.countPartitions(partitions);
     try {
-      if (partitions.length === 0) return await this.createPartitions(counts);
       await this.replaceFailedOwners(partitions, counts, now);
+      await this.createMissingPartitions(partitions, counts);
       this.handOverUnreachable(partitions, now);
       this.handOverToIdleMember(partitions, counts, now);
     } finally {
@@ -110,14 +113,32 @@
     return sorted[0]?.[0];
   }
 
-  /** Creates the partitions. Of several controllers, at least one gets none: it leads and stands by for a failover. */
-  private async createPartitions(counts: PartitionCounts): Promise<void> {
-    const count = Math.max(1, Math.min(MAX_PARTITION_COUNT, this.controllerCount - 1));
-    for (const [i, teams] of splitTeams(this.deps.settings.teams, count).entries()) {
+  /**
+   * Creates partitions for the teams that belong to none, whether no partition exists or an earlier attempt was interrupted. Each
+   * creation is conditional on all records that the plan assumes, so a late attempt cannot give a team to a second partition. Of
+   * several controllers, at least one gets no partition: it leads and stands by for a failover.
+   */
+  private async createMissingPartitions(
+    partitions: readonly StoredPartition[],
+    counts: PartitionCounts,
+  ): Promise<void> {
+    const { settings, log } = this.deps;
+    const unserved = unservedTeams(settings.teams, partitions);
+    const maxCount = Math.max(1, Math.min(MAX_PARTITION_COUNT, this.controllerCount - 1));
+    const planned = planPartitions(unserved, new Set(partitions.map(({ id }) => id)), maxCount);
+    if (planned.length === 0) return;
+    if (partitions.length > 0)
+      log.warn({ teams: unserved.map(({ name }) => name) }, 'teams without a partition');
+    const unchanged = partitions.map(({ id, epoch }) => ({ key: keys.partition(id), revision: epoch }));
+    for (const { id, teams } of planned) {
       const owner = this.leastLoaded(counts);
-      if (!owner) continue;
-      await this.changeOwner({ partition: `p${i}`, teams, owner, epoch: 0, failedOwner: null });
+      if (!owner) return;
+      const change = { partition: id, teams, owner, epoch: 0, failedOwner: null, unchanged };
+      const revision = await this.changeOwner(change);
+      // The next round plans the rest anew, from what the state store holds then.
+      if (revision === null) return;
       incrementCount(counts, owner);
+      unchanged.push({ key: keys.partition(id), revision });
     }
   }
 
@@ -140,11 +161,13 @@
       const failedOwner = members.has(record.owner) ? null : record.owner;
       if (failedOwner && !extensions.permitsTakeover(failedOwner, now)) continue;
       const change = { partition: id, teams: record.teams, owner, epoch, failedOwner };
-      if (await this.changeOwner(change)) incrementCount(counts, owner);
+      if ((await this.changeOwner(change)) !== null) incrementCount(counts, owner);
     }
   }
 
-  private async changeOwner({ partition, teams, owner, epoch, failedOwner }: OwnerChange): Promise<boolean> {
+  /** Writes a partition's record with its new owner. Resolves to the record's revision, or null unless it was certainly written. */
+  private async changeOwner(change: OwnerChange): Promise<number | null> {
+    const { partition, teams, owner, epoch, failedOwner, unchanged = [] } = change;
     const { replica, stateStore, log } = this.deps;
     const incarnation = replica.members.get(owner) ?? 0;
     const record: PartitionRecord = { teams, owner, incarnation };
@@ -152,6 +175,7 @@
       { key: keys.leader, revision: this.leaderTerm },
       { key: keys.partition(partition), revision: epoch },
       { key: keys.member(owner), revision: incarnation },
+      ...unchanged,
     ];
     // If the change is applied late, it must not affect an owner that has rejoined in the meantime.
     if (failedOwner) conditions.push({ key: keys.member(failedOwner), revision: 0 });
@@ -161,7 +185,7 @@
       RequestPriority.Decision,
     );
     log.info({ partition, owner, failedOwner, result: result.kind }, 'partition assigned');
-    return result.kind === 'applied';
+    return result.kind === 'applied' ? result.revision : null;
   }
 
   /** Hands over partitions whose machines reach other controllers but not the partition's owner. */
--- a/src/coordination/leader/team-partitions.ts
+++ b/src/coordination/leader/team-partitions.ts
@@ -22,3 +22,29 @@
   const served = new Set([...partitions].flatMap(({ record }) => record.teams));
   return teams.filter(({ name }) => !served.has(name));
 }
+
+/** A partition that is to be created, with its teams. */
+export interface PlannedPartition {
+  id: string;
+  teams: string[];
+}
+
+/**
+ * Divides teams that belong to no partition among new ones, up to a total of `maxCount` partitions. Always uses the first ids that
+ * are free: repeated with the same teams and existing partitions, the plan is the same.
+ */
+export function planPartitions(
+  unserved: readonly Team[],
+  existingIds: ReadonlySet<string>,
+  maxCount: number,
+): PlannedPartition[] {
+  const planned: PlannedPartition[] = [];
+  const newCount = maxCount - existingIds.size;
+  if (newCount <= 0) return planned;
+  let index = 0;
+  for (const teams of splitTeams(unserved, newCount)) {
+    while (existingIds.has(`p${index}`)) index++;
+    planned.push({ id: `p${index++}`, teams });
+  }
+  return planned;
+}
--- a/test/cluster/faults.ts
+++ b/test/cluster/faults.ts
@@ -6,6 +6,7 @@
 /** The fields of a controller's status that faults and tests read. */
 export interface ControllerStatus {
   leading: boolean;
+  unservedTeams: string[];
   revision: number;
   store: { requests: number; writes: number };
   partitions: { reports: number; placementPasses: number; started: number }[];
--- a/test/standin/store.ts
+++ b/test/standin/store.ts
@@ -25,6 +25,8 @@
   readonly keys = new Map<string, StoredEntry>();
   /** Called with the reason for each transaction that is rejected because of the protocol's limits. */
   onRejected: (reason: string, transaction: TransactionBody) => void = () => undefined;
+  /** Called for each transaction that is applied, before its sender gets the response. */
+  onApplied: (transaction: TransactionBody) => void = () => undefined;
   private readonly changes: RecordedChange[] = [];
   private readonly leases = new Map<number, { ttlMs: number; expiresAt: number }>();
   private readonly watchers = new Set<() => void>();
@@ -129,6 +131,7 @@
       else this.remove(op.delete);
     }
     this.notifyWatchers();
+    this.onApplied(body);
     return jsonResponse(200, { ledger_rev: this.revision });
   }
 
