Serve teams that are added to the settings

What callers saw: after a rolling restart with another team in the settings, the jobs of this team were accepted and never run.

Cause: as with partitions that were never created, the leader looked at whether partitions exist, not at the teams. Records were only ever rewritten with the teams that they had.

Change: if no further partition may be created, the leader adds the teams to the partition with the smallest total of guarantees, one record in each round.

Why it works: the record's new epoch makes the same owner take its partition over anew, with the jobs of all its teams. Until now no controller ran anything for the new team, so it can't exceed its limit in two partitions, and the write is conditional on all partition records, so it is added to one only.

--- a/src/coordination/leader/partition-assignment.ts
+++ b/src/coordination/leader/partition-assignment.ts
@@ -6,11 +6,11 @@
 import { type PartitionRecord } from '../../protocol/records';
 import { type PeerMessage } from '../../protocol/peers';
 import { type Condition } from '../../protocol/store';
-import { type Settings } from '../../protocol/settings';
+import { type Settings, type Team } from '../../protocol/settings';
 import { type LeaseExtensions } from '../membership/lease-extension';
 import { Reachability } from '../membership/reachability';
 import { type PartitionLoads } from './partition-loads';
-import { planPartitions, unservedTeams } from './team-partitions';
+import { planExtensions, planPartitions, unservedTeams, type PlannedPartition } from './team-partitions';
 
 /** Two controllers can handle all heartbeats. With more partitions, more machines are idle in one while another lacks them. */
 const MAX_PARTITION_COUNT = 2;
@@ -63,11 +63,13 @@
   readonly reachability = new Reachability();
   private assigning = false;
   private leaderTerm = 0;
+  /** Names of the teams that were last reported to belong to no partition. */
+  private reportedTeams = '';
   private readonly lastHandoverAt = new Map<string, number>();
 
   constructor(private readonly deps: PartitionAssignmentDependencies) {}
 
-  /** Assigns an owner to the partitions without a live one, creates those that are missing, and starts handovers. */
+  /** Assigns an owner to the partitions without a live one, gives each team a partition, and starts handovers. */
   async assign(now: number, leaderTerm: number, leaderSince: number): Promise<void> {
     if (this.assigning) return;
     const partitions = [...this.deps.replica.partitions.values()];
@@ -77,7 +79,7 @@
     const counts = this.countPartitions(partitions);
     try {
       await this.replaceFailedOwners(partitions, counts, now);
-      await this.createMissingPartitions(partitions, counts);
+      await this.serveAllTeams(partitions, counts);
       this.handOverUnreachable(partitions, now);
       this.handOverToIdleMember(partitions, counts, now);
     } finally {
@@ -93,14 +95,19 @@
     return this.deps.replica.members.size < this.controllerCount && leadingMs < MEMBER_WAIT_MS;
   }
 
+  /** Whether the owner's session lease is held, by the process that the record names. */
+  private isOwnerLive({ record }: StoredPartition): boolean {
+    return this.deps.replica.members.get(record.owner) === record.incarnation;
+  }
+
   private countPartitions(partitions: readonly StoredPartition[]): PartitionCounts {
     const { replica, leader } = this.deps;
     const { members } = replica;
     const counts: PartitionCounts = new Map();
     for (const member of members.keys()) counts.set(member, member === leader ? LEADER_PARTITION_WEIGHT : 0);
     // A partition that belongs to an earlier incarnation of its owner is counted when it is reassigned.
-    for (const { record } of partitions)
-      if (members.get(record.owner) === record.incarnation) incrementCount(counts, record.owner);
+    for (const partition of partitions)
+      if (this.isOwnerLive(partition)) incrementCount(counts, partition.record.owner);
     return counts;
   }
 
@@ -114,34 +121,77 @@
   }
 
   /**
-   * Creates partitions for the teams that belong to none, whether no partition exists or an earlier attempt was interrupted. Each
-   * creation is conditional on all records that the plan assumes, so a late attempt cannot give a team to a second partition. Of
-   * several controllers, at least one gets no partition: it leads and stands by for a failover.
+   * Gives the teams that belong to no partition one: because none exists yet, because an earlier attempt was interrupted, or because
+   * they are new in the settings. Of several controllers, at least one gets no partition: it leads and stands by for a failover.
    */
-  private async createMissingPartitions(
+  private async serveAllTeams(
     partitions: readonly StoredPartition[],
     counts: PartitionCounts,
   ): Promise<void> {
-    const { settings, log } = this.deps;
+    const { settings } = this.deps;
     const unserved = unservedTeams(settings.teams, partitions);
+    if (unserved.length === 0) return;
+    if (partitions.length > 0) this.reportUnserved(unserved);
     const maxCount = Math.max(1, Math.min(MAX_PARTITION_COUNT, this.controllerCount - 1));
     const planned = planPartitions(unserved, new Set(partitions.map(({ id }) => id)), maxCount);
-    if (planned.length === 0) return;
-    if (partitions.length > 0)
-      log.warn({ teams: unserved.map(({ name }) => name) }, 'teams without a partition');
-    const unchanged = partitions.map(({ id, epoch }) => ({ key: keys.partition(id), revision: epoch }));
+    if (planned.length > 0) await this.createPartitions(planned, partitions, counts);
+    else await this.extendPartitions(planExtensions(unserved, settings.teams, partitions), partitions);
+  }
+
+  /** Logs teams without a partition, once as long as they are the same. */
+  private reportUnserved(unserved: readonly Team[]): void {
+    const teams = unserved.map(({ name }) => name);
+    if (teams.join() === this.reportedTeams) return;
+    this.reportedTeams = teams.join();
+    this.deps.log.warn({ teams }, 'teams without a partition');
+  }
+
+  /**
+   * Each creation is conditional on all records that the plan assumes, so a late attempt cannot give a team to a second partition. The
+   * next round plans anew what was not certainly created, from what the state store holds then.
+   */
+  private async createPartitions(
+    planned: readonly PlannedPartition[],
+    partitions: readonly StoredPartition[],
+    counts: PartitionCounts,
+  ): Promise<void> {
+    const unchanged = partitions.map(unchangedRecord);
     for (const { id, teams } of planned) {
       const owner = this.leastLoaded(counts);
       if (!owner) return;
       const change = { partition: id, teams, owner, epoch: 0, failedOwner: null, unchanged };
       const revision = await this.changeOwner(change);
-      // The next round plans the rest anew, from what the state store holds then.
       if (revision === null) return;
       incrementCount(counts, owner);
       unchanged.push({ key: keys.partition(id), revision });
     }
   }
 
+  /**
+   * Adds teams to existing partitions, under the same conditions. The owner stays the same, but takes its partition over anew, because
+   * the record has a new epoch. A partition without a live owner is extended once it has one.
+   */
+  private async extendPartitions(
+    planned: readonly PlannedPartition[],
+    partitions: readonly StoredPartition[],
+  ): Promise<void> {
+    // One in each round: it changes a record that the others would be conditional on.
+    const extended = partitions.find((p) => this.isOwnerLive(p) && planned.some(({ id }) => id === p.id));
+    if (!extended) return;
+    const { id, record, epoch } = extended;
+    const added = planned.find((extension) => extension.id === id)?.teams ?? [];
+    const teams = [...record.teams, ...added];
+    const unchanged = partitions.filter((other) => other !== extended).map(unchangedRecord);
+    await this.changeOwner({
+      partition: id,
+      teams,
+      owner: record.owner,
+      epoch,
+      failedOwner: null,
+      unchanged,
+    });
+  }
+
   /**
    * Assigns the partitions of owners whose session lease has expired. An owner that has rejoined under a new incarnation gets
    * its partition back under a new epoch, because it no longer knows what it ordered before. Otherwise the partition goes to
@@ -154,8 +204,9 @@
   ): Promise<void> {
     const { replica, extensions } = this.deps;
     const { members } = replica;
-    for (const { id, record, epoch } of partitions) {
-      if (members.get(record.owner) === record.incarnation) continue;
+    for (const partition of partitions) {
+      if (this.isOwnerLive(partition)) continue;
+      const { id, record, epoch } = partition;
       const owner = members.has(record.owner) ? record.owner : this.leastLoaded(counts);
       if (!owner) continue;
       const failedOwner = members.has(record.owner) ? null : record.owner;
@@ -235,6 +286,11 @@
   }
 }
 
+/** The condition that a partition's record is still the one that a decision is based on. */
+function unchangedRecord({ id, epoch }: StoredPartition): Condition {
+  return { key: keys.partition(id), revision: epoch };
+}
+
 function incrementCount(counts: PartitionCounts, member: string): void {
   counts.set(member, (counts.get(member) ?? 0) + 1);
 }
--- a/src/coordination/leader/team-partitions.ts
+++ b/src/coordination/leader/team-partitions.ts
@@ -2,19 +2,36 @@
 import { type StoredPartition } from '../../storage/replica-view';
 import { type Team } from '../../protocol/settings';
 
-/** Splits the teams into at most `count` partitions with about the same total of guaranteed CPUs. */
-export function splitTeams(teams: readonly Team[], count: number): string[][] {
-  const partitions: { teams: string[]; cpus: number }[] = [];
-  for (let i = 0; i < Math.min(count, teams.length); i++) partitions.push({ teams: [], cpus: 0 });
+/** Teams that are added up to one partition. */
+interface TeamGroup {
+  teams: string[];
+  /** Sum of the teams' weights. */
+  weight: number;
+}
+
+/** The share of a partition that a team counts for: its guaranteed CPUs. */
+function weightOf(team: Team): number {
+  return Math.max(1, team.guaranteed.cpus);
+}
+
+/** Adds each team to the group with the smallest weight, the largest team first. There must be a group. */
+function distributeTeams(teams: readonly Team[], groups: readonly TeamGroup[]): void {
   const largestFirst = [...teams].sort(
     (a, b) => b.guaranteed.cpus - a.guaranteed.cpus || (a.name < b.name ? -1 : 1),
   );
   for (const team of largestFirst) {
-    const smallest = partitions.reduce((a, b) => (b.cpus < a.cpus ? b : a));
+    const smallest = groups.reduce((a, b) => (b.weight < a.weight ? b : a));
     smallest.teams.push(team.name);
-    smallest.cpus += Math.max(1, team.guaranteed.cpus);
+    smallest.weight += weightOf(team);
   }
-  return partitions.map((p) => p.teams);
+}
+
+/** Splits the teams into at most `count` partitions with about the same total of guaranteed CPUs. */
+export function splitTeams(teams: readonly Team[], count: number): string[][] {
+  const groups: TeamGroup[] = [];
+  for (let i = 0; i < Math.min(count, teams.length); i++) groups.push({ teams: [], weight: 0 });
+  distributeTeams(teams, groups);
+  return groups.map((group) => group.teams);
 }
 
 /** The teams that belong to none of the partitions. No controller schedules their jobs. */
@@ -23,7 +40,7 @@
   return teams.filter(({ name }) => !served.has(name));
 }
 
-/** A partition that is to be created, with its teams. */
+/** A partition that is to be created or extended, and the teams that it is given. */
 export interface PlannedPartition {
   id: string;
   teams: string[];
@@ -48,3 +65,22 @@
   }
   return planned;
 }
+
+/**
+ * Divides teams that belong to no partition among the existing ones, so that their totals of guaranteed CPUs become similar. There must
+ * be a partition.
+ */
+export function planExtensions(
+  unserved: readonly Team[],
+  teams: readonly Team[],
+  partitions: readonly StoredPartition[],
+): PlannedPartition[] {
+  const groups = partitions.map(({ id, record }) => {
+    const current = teams.filter(({ name }) => record.teams.includes(name));
+    return { id, teams: [], weight: current.reduce((sum, team) => sum + weightOf(team), 0) };
+  });
+  distributeTeams(unserved, groups);
+  return groups
+    .filter((group) => group.teams.length > 0)
+    .map((group) => ({ id: group.id, teams: group.teams }));
+}
--- a/test/cluster/cluster-options.ts
+++ b/test/cluster/cluster-options.ts
@@ -40,6 +40,8 @@
   extraRunMs?: number;
   /** Binds some random jobs to a zone and requires others to spread over the zones. */
   zoneConstraints?: boolean;
+  /** The teams in the settings of a controller that starts now; `TEAMS` by default. */
+  teamsInSettings?: () => readonly TeamSettings[];
   machineTypes?: readonly FakeMachineType[];
   /** Machines that are up from the start; three small ones by default. */
   initialMachines?: { type: string; count: number }[];
@@ -80,9 +82,9 @@
   { label: 'large', cpus: 12, memoryGb: 48 },
 ];
 
-/** The teams with their guarantees and limits multiplied by `teamLimitFactor`. */
-export function teamSettings({ teamLimitFactor }: VirtualClusterOptions): TeamSettings[] {
-  return TEAMS.map(({ name, cpus, cpus_max: limit }) => ({
+/** These teams, or all, with their guarantees and limits multiplied by `teamLimitFactor`. */
+export function teamSettings({ teamLimitFactor }: VirtualClusterOptions, teams = TEAMS): TeamSettings[] {
+  return teams.map(({ name, cpus, cpus_max: limit }) => ({
     name,
     cpus: cpus * teamLimitFactor,
     cpus_max: limit * teamLimitFactor,
@@ -101,7 +103,7 @@
     peers: others.map((i) => ({ member: `velodrome-${i}`, addr: `10.0.0.${i + 1}:8081` })),
     external: { cloud: '10.2.0.2:1', state: '10.2.0.1:1' },
     facts: {
-      teams: teamSettings(options),
+      teams: teamSettings(options, options.teamsInSettings?.()),
       workers: {
         report_s: HEARTBEAT_INTERVAL_MS / 1000,
         lease_s: LEASE_MS / 1000,
--- a/test/cluster/partition-creation.test.ts
+++ b/test/cluster/partition-creation.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { keys } from '../../src/protocol/keys';
 import { type TransactionBody } from '../standin/transaction-limits';
-import { TEAMS, type JobParameters } from './cluster-options';
+import { DEFAULT_OPTIONS, TEAMS, type JobParameters, type TeamSettings } from './cluster-options';
 import { leaderIndex, type ControllerStatus } from './faults';
 import { VirtualCluster } from './virtual-cluster';
 
@@ -13,6 +13,10 @@
 const CANCELLATION_MS = 60_000;
 /** No job is left waiting for 90 s while a machine that fits has room. */
 const MAX_WAIT_MS = 90_000;
+/** A controller is back and serves its partition before the next one is restarted. */
+const ROLL_RESTART_MS = 1000;
+const ROLL_INTERVAL_MS = 10_000;
+const LONG_RUN_MS = 20_000;
 const SEEDS = [1, 2, 3];
 const PARTITION_PREFIX = keys.partition('');
 
@@ -89,3 +93,41 @@
     });
   }
 });
+
+/** Restarts the controllers one after the other, with the teams that the settings have now. */
+async function restartInTurn(cluster: VirtualCluster): Promise<void> {
+  for (let index = 0; index < cluster.nodes.length; index++) {
+    cluster.crash(index, ROLL_RESTART_MS);
+    await cluster.runUntil(cluster.time.now + ROLL_INTERVAL_MS);
+  }
+}
+
+// Guards against accepted jobs that no controller runs: teams that were added to the settings of a cluster belonged to no partition.
+test('teams are added to the settings: their jobs run, and those of the other teams go on', async (t) => {
+  const cases = [
+    { name: 'all partitions exist', initialTeams: TEAMS.slice(0, 2) },
+    { name: 'a single team has the only partition', initialTeams: TEAMS.slice(0, 1) },
+  ];
+  for (const { name, initialTeams } of cases) {
+    for (const seed of SEEDS) {
+      await t.test(`${name}, seed ${seed}`, async () => {
+        let teams: readonly TeamSettings[] = initialTeams;
+        const cluster = new VirtualCluster(seed, { ...DEFAULT_OPTIONS, teamsInSettings: () => teams });
+        const submit = (n: number, team: string): void =>
+          cluster.users.submitJob(n, jobOf(team, LONG_RUN_MS));
+        for (const [n, team] of initialTeams.entries())
+          cluster.time.at(SUBMITTED_AT, () => submit(n, team.name));
+        await cluster.runUntil(SUBMITTED_AT + 5000);
+        teams = TEAMS;
+        await restartInTurn(cluster);
+        for (const [n, team] of TEAMS.entries()) submit(TEAMS.length + n, team.name);
+        await cluster.runUntil(cluster.time.now + MAX_WAIT_MS);
+        assert.deepEqual(cluster.rules.violations, []);
+        assert.deepEqual(cluster.jobs.unfinished(), []);
+        assert.equal(cluster.expiredLeases, 0, 'leases that expired on machines with tasks');
+        for (const { controller } of cluster.nodes)
+          assert.deepEqual((controller?.status() as ControllerStatus).unservedTeams, []);
+      });
+    }
+  }
+});
--- a/test/leader/partition-assignment.test.ts
+++ b/test/leader/partition-assignment.test.ts
@@ -90,3 +90,28 @@
     });
   }
 });
+
+// Guards against accepted jobs that no controller runs: teams that were added to the settings belonged to no partition.
+test('teams that are new in the settings are added to existing partitions', async (t) => {
+  const cases: { name: string; owner: string | undefined; lateMs: number[] }[] = [
+    { name: 'no failure', owner: MEMBERS[1], lateMs: [] },
+    { name: 'the response is lost', owner: MEMBERS[1], lateMs: [0] },
+    { name: 'the transaction is applied late, after its repetition', owner: MEMBERS[1], lateMs: [4000] },
+    { name: 'the owner has ended', owner: 'ended', lateMs: [] },
+  ];
+  for (const { name, owner = '', lateMs } of cases) {
+    await t.test(name, async () => {
+      const fixture = new LeaderFixture();
+      await fixture.addMembers();
+      const incarnation = fixture.incarnations.get(owner) ?? 1;
+      await fixture.put(keys.partition('p0'), { teams: ['a', 'b', 'c'], owner, incarnation });
+      const other = MEMBERS[2] ?? '';
+      const otherIncarnation = fixture.incarnations.get(other);
+      await fixture.put(keys.partition('p1'), { teams: ['d'], owner: other, incarnation: otherIncarnation });
+      fixture.lateTransactionsMs.push(...lateMs);
+      await fixture.assign(TEAMS);
+      assert.deepEqual(fixture.recordedTeams, TEAM_NAMES);
+      assert.deepEqual(fixture.replica.partitions.get('p1')?.record.teams, ['d', 'e', 'f']);
+    });
+  }
+});
