Pass over a machine only if others have room for what may run on it

What callers saw: a job bound to a zone lost its spot machine and was left waiting for 90.9 s and more, while another machine of the zone had room.

Cause: at each tick the owner chose the first machines whose free CPUs add up to the CPUs of all pending tasks, and gave no task to the others, without asking whether the pending tasks may run on the chosen ones. The leader does ask, found room and provisioned nothing. reserveSlack used the same sum: a task was stopped for the transfer of its machine although no machine where it may run had room.

On the sources before, test/partition/machine-preference.test.ts fails for each restriction (zone, machine type, no spot, memory, CPUs of one machine, all tasks in one zone, half in each zone), for room that is only where a stopped task may not run (3 cases), and for more shapes of tasks than the search considers.

Change: PlacementPlan places the pending tasks on the machines in the same order, first fit. A machine is passed over if the plan puts nothing on it and no task without room could run on it. reserveSlack takes room from the same plan. The search is bounded by 16 steps for each machine and job; if the bound is reached, no machine is passed over. What decides whether a machine is at fault for failures moves to machine-failures.ts, and the two functions that take the resources of several tasks become one.

Why it works: the question is asked of each task and machine instead of a sum. Machines on which tasks wait for room stay in use, so what is freed on them is given away in the answer to the same heartbeat, as before.

--- a/src/coordination/fleet/demand-matching.ts
+++ b/src/coordination/fleet/demand-matching.ts
@@ -27,12 +27,3 @@
 export function canRun(demand: Demand, { type, zone, spot }: MachineOption): boolean {
   return allowsMachineKind(demand, { type: type.name, zone, spot }) && countFitting(type, demand) > 0;
 }
-
-/** Subtracts from `free` the resources of as many tasks of a demand as fit, at most `tasks`. Returns the number of tasks. */
-export function reserveTasks(free: Resources, demand: Demand, tasks: number): number {
-  const count = Math.min(tasks, countFitting(free, demand));
-  free.cpus -= count * demand.cpus;
-  free.accelerators -= count * demand.accelerators;
-  free.memoryGb -= count * demand.memoryGb;
-  return count;
-}
--- a/src/coordination/fleet/planned-partition.ts
+++ b/src/coordination/fleet/planned-partition.ts
@@ -1,7 +1,7 @@
 import { type MachineType } from '../../protocol/cloud';
 import { type Demand, type PartitionLoad } from '../../protocol/peers';
-import { type Resources } from '../partition/resources';
-import { canRun, reserveTasks } from './demand-matching';
+import { takeResources, type Resources } from '../partition/resources';
+import { canRun } from './demand-matching';
 
 /** A machine that counts as capacity of a partition, with the resources that the plan leaves free on it. */
 export interface MachineCapacity {
@@ -52,7 +52,7 @@
   while (pending.scannedMachines < machines.length && pending.tasks > 0) {
     const machine = machines[pending.scannedMachines++] as MachineCapacity;
     if (!canRun(pending.demand, machine)) continue;
-    pending.tasks -= reserveTasks(machine.free, pending.demand, pending.tasks);
+    pending.tasks -= takeResources(machine.free, pending.demand, pending.tasks);
   }
 }
 
--- a/src/coordination/fleet/scale-out.ts
+++ b/src/coordination/fleet/scale-out.ts
@@ -1,9 +1,9 @@
 import { type ProvisionRequest, type MachineType } from '../../protocol/cloud';
 import { PRIORITIES } from '../../protocol/jobs';
 import { type Demand } from '../../protocol/peers';
-import { countFitting } from '../partition/resources';
+import { countFitting, takeResources } from '../partition/resources';
 import { type CapacityPlan, type EmptyMachine } from './capacity-plan';
-import { allowsMachineKind, canRun, fullCapacity, reserveTasks } from './demand-matching';
+import { allowsMachineKind, canRun, fullCapacity } from './demand-matching';
 import { kindKey } from './fleet-snapshot';
 import {
   placeOnMachines,
@@ -156,7 +156,7 @@
   { id, type, zone, spot }: Omit<MachineCapacity, 'free'>,
 ): void {
   const free = fullCapacity(type);
-  pending.tasks -= reserveTasks(free, pending.demand, pending.tasks);
+  pending.tasks -= takeResources(free, pending.demand, pending.tasks);
   partition.machines.push({ id, free, type, zone, spot });
 }
 
--- a/src/coordination/partition/job.ts
+++ b/src/coordination/partition/job.ts
@@ -72,6 +72,8 @@
   /** Number of pending tasks below `unconfirmedBelow`. */
   unconfirmedCount = 0;
   private readonly initialWatermark: number;
+  /** Equal for jobs whose tasks need the same resources and may run on the same machines, zones of other tasks aside. */
+  readonly requirementsKey: string;
   /** No pending task has a smaller index. */
   private firstPending = 0;
   /** Priority used in scheduling: the job's own, raised by its deadlines and waiting time. */
@@ -95,12 +97,25 @@
     // A later owner must know whether a job that runs at most once was started, so this is recorded before the first start.
     this.initialWatermark = Math.min(spec.tasks, this.runsAtMostOnce ? 0 : INITIAL_START_WATERMARK);
     this.startWatermark = progress?.startWatermark ?? this.initialWatermark;
+    this.requirementsKey = requirementsKey(spec);
     // If the tasks must share or spread over zones, none is placed while one may be on an unconfirmed machine in any zone.
-    const zoneBound = spec.singleZone || spec.spreadZones;
-    this.unconfirmedBelow = unconfirmed ? (zoneBound ? spec.tasks : this.startWatermark) : 0;
+    this.unconfirmedBelow = unconfirmed ? (this.isZoneBound ? spec.tasks : this.startWatermark) : 0;
     for (let i = 0; i < this.unconfirmedBelow; i++) if (this.isPending(i)) this.unconfirmedCount++;
   }
 
+  /** Whether the zones in which a task may run depend on where the other tasks of the job are. */
+  get isZoneBound(): boolean {
+    return this.spec.singleZone || this.spec.spreadZones;
+  }
+
+  /** Number of tasks in flight in each zone. */
+  inFlightByZone(): Map<string, number> {
+    const zones = new Map<string, number>();
+    for (const { record } of this.inFlight.values())
+      zones.set(record.zone, (zones.get(record.zone) ?? 0) + 1);
+    return zones;
+  }
+
   /** Whether the job's tasks must not be run a second time. */
   get runsAtMostOnce(): boolean {
     return this.spec.pipeline?.reExecutable === false;
@@ -293,3 +308,7 @@
     };
   }
 }
+
+function requirementsKey({ cpus, accelerators, memoryGb, machineTypes, zone, spot }: JobSpec): string {
+  return JSON.stringify([cpus, accelerators, memoryGb, machineTypes, zone, spot]);
+}
--- a/src/coordination/partition/machine.ts
+++ b/src/coordination/partition/machine.ts
@@ -38,7 +38,8 @@
  */
 export class MachineState {
   readonly id: string;
-  record: MachineRecord;
+  private currentRecord: MachineRecord;
+  private currentKindKey: string;
   /** Revision of the record. */
   revision: number;
   /** Whether every task that an earlier owner started and that can be on the machine has been reported. */
@@ -80,7 +81,8 @@
 
   constructor({ id, record, revision, confirmed, now }: MachineStateOptions) {
     this.id = id;
-    this.record = record;
+    this.currentRecord = record;
+    this.currentKindKey = kindKeyOf(record);
     this.revision = revision;
     this.confirmed = confirmed;
     this.leaseRenewedAt = now;
@@ -88,6 +90,20 @@
     this.idleSince = now;
   }
 
+  get record(): MachineRecord {
+    return this.currentRecord;
+  }
+
+  set record(record: MachineRecord) {
+    this.currentRecord = record;
+    this.currentKindKey = kindKeyOf(record);
+  }
+
+  /** Equal for machines of the same type, zone and price model. */
+  get kindKey(): string {
+    return this.currentKindKey;
+  }
+
   // Tasks and resources.
 
   /** Tasks in flight, by `taskKey`. */
@@ -336,6 +352,10 @@
   }
 }
 
+function kindKeyOf({ type, zone, spot }: MachineRecord): string {
+  return `${type} ${zone} ${spot}`;
+}
+
 /** Whether a heartbeat was sent after the heartbeat with the given agent epoch and sequence number. */
 function isAfter(heartbeat: Heartbeat, agentEpoch: number, sequence: number): boolean {
   if (heartbeat.agentEpoch !== agentEpoch) return heartbeat.agentEpoch > agentEpoch;
--- a/src/coordination/partition/partition-core.ts
+++ b/src/coordination/partition/partition-core.ts
@@ -14,6 +14,7 @@
 import { JobSet, type OpenJob, type JobAtRevision } from './job-set';
 import { type InFlightTask } from './in-flight-task';
 import { type MachineState } from './machine';
+import { isQuarantined } from './machine-failures';
 import { MachineSet, type DrainedMachine } from './machine-set';
 import { partitionLoad } from './partition-load';
 import { type PartitionState } from './partition-state';
@@ -357,7 +358,7 @@
   }
 
   isQuarantined(machine: MachineState): boolean {
-    return this.placement.isQuarantined(machine);
+    return isQuarantined(machine, this.jobs);
   }
 
   /** The partition's load, as it is published to the leader. */
--- a/src/coordination/partition/partition-demands.ts
+++ b/src/coordination/partition/partition-demands.ts
@@ -5,6 +5,8 @@
 import { eligibleZones } from './placement';
 import { countWithinQuota } from './resources';
 
+const NO_TASKS: ReadonlyMap<string, number> = new Map();
+
 /**
  * The demands of a partition's pending tasks, in scheduling order. Tasks that need the same machines share a demand, and each team
  * demands no more than its quota allows.
@@ -53,7 +55,8 @@
   allZones: ReadonlySet<string>,
 ): Demand {
   const { workload, cpus, accelerators, memoryGb, machineTypes, spot, priority } = job.spec;
-  const zones = eligibleZones(job.spec, allZones, inFlightByZone(job));
+  const inFlightByZone = job.isZoneBound ? job.inFlightByZone() : NO_TASKS;
+  const zones = eligibleZones(job.spec, allZones, inFlightByZone);
   const expectedS = partition.estimates.expectedSeconds(job.spec);
   return { workload, cpus, accelerators, memoryGb, machineTypes, zones, spot, priority, tasks, expectedS };
 }
@@ -72,11 +75,3 @@
   // A job that has waited long may come before more urgent ones; their priority must not be lost.
   existing.priority = Math.min(existing.priority, demand.priority);
 }
-
-/** Number of tasks in flight in each zone for a job that must share or spread over zones; empty for any other job. */
-function inFlightByZone({ spec, inFlight }: PartitionJob): Map<string, number> {
-  const zones = new Map<string, number>();
-  if (!spec.singleZone && !spec.spreadZones) return zones;
-  for (const { record } of inFlight.values()) zones.set(record.zone, (zones.get(record.zone) ?? 0) + 1);
-  return zones;
-}
--- a/src/coordination/partition/resources.ts
+++ b/src/coordination/partition/resources.ts
@@ -28,6 +28,15 @@
   return Math.max(0, count);
 }
 
+/** Subtracts the needs of as many tasks as fit, at most `maxCount`, from the free resources, in place. Returns their number. */
+export function takeResources(free: Resources, need: Resources, maxCount: number): number {
+  const count = Math.min(maxCount, countFitting(free, need));
+  free.cpus -= count * need.cpus;
+  free.accelerators -= count * need.accelerators;
+  free.memoryGb -= count * need.memoryGb;
+  return count;
+}
+
 /** Subtracts the needs of one task from the free resources, in place. */
 export function subtractResources(free: Resources, need: Resources): void {
   free.cpus -= need.cpus;
--- a/src/coordination/partition/task-placement.ts
+++ b/src/coordination/partition/task-placement.ts
@@ -3,7 +3,9 @@
 import { type PartitionJob } from './job';
 import { taskKey, type InFlightTask } from './in-flight-task';
 import { type MachineState } from './machine';
+import { avoidsMachine, isQuarantined } from './machine-failures';
 import { allowsMachine, remainingInZone } from './placement';
+import { PlacementPlan, roomOn, type MachineRoom } from './placement-plan';
 import {
   countFitting,
   countWithinQuota,
@@ -13,8 +15,6 @@
 } from './resources';
 import { type TeamQuota } from './team-quota';
 
-/** Number of failures on a machine without a success in between after which it is quarantined. */
-const QUARANTINE_FAILURE_COUNT = 3;
 /** Once a job has been known to this owner for this long, it no longer takes precedence on machines that have its image. */
 const MAX_IMAGE_PRECEDENCE_MS = 30_000;
 /** Attempts are numbered from the epoch times this. As long as an owner starts fewer tasks, later owners use larger numbers. */
@@ -35,6 +35,8 @@
   readonly counters: { started: number; placementPasses: number };
   /** Whether the state store lists a machine as assigned, that is, as one that may have tasks. */
   isAssigned(machine: string): boolean;
+  /** Capacity of a machine; null if its type is unknown. */
+  capacityOf(machine: MachineState): Resources | null;
   /** Free resources of a machine; null if its type, or the job of a task on it, is unknown. */
   freeOn(machine: MachineState): Resources | null;
   /** The open jobs in the order in which they are offered resources. */
@@ -54,8 +56,8 @@
 /** Chooses machines for pending tasks and starts the tasks on them. */
 export class TaskPlacement {
   private attemptCount = 0;
-  /** Free CPUs beyond those that pending tasks need and stopped tasks will need again; null if they must be recomputed. */
-  private slackCpus: number | null = null;
+  /** The plan since the last tick, with the room that was reserved for tasks that are resumed; null if none was needed. */
+  private plan: PlacementPlan | null = null;
 
   constructor(private readonly context: PlacementContext) {}
 
@@ -66,30 +68,12 @@
       machine.cordoned ||
       machine.transferTarget !== null ||
       machine.preemptionDeadline !== null ||
-      this.isQuarantined(machine) ||
+      isQuarantined(machine, this.context.jobs) ||
       machine.lastHeartbeatAt === null ||
       now - machine.lastHeartbeatAt > maxAgeMs
     );
   }
 
-  /**
-   * Whether a machine is considered the cause of task failures on it. The failures of a job count against the machine if any task
-   * of the job has succeeded, or if no task ever succeeded on the machine. Other jobs that have failed on the machine count once
-   * each, so that only several of them quarantine it. The failures of a job that fails everywhere never count: it is
-   * faulty, and healthy machines would be deprovisioned because of it.
-   */
-  isQuarantined(machine: MachineState): boolean {
-    let failures = 0;
-    let unprovenJobs = 0;
-    for (const [ref, n] of machine.failuresByJob) {
-      const job = this.context.jobs.get(ref);
-      if (!job || job.failsEverywhere) continue;
-      if (job.doneCount > 0 || !machine.hadTaskSuccess) failures += n;
-      else unprovenJobs++;
-    }
-    return failures >= QUARANTINE_FAILURE_COUNT || unprovenJobs >= QUARANTINE_FAILURE_COUNT;
-  }
-
   /**
    * Whether tasks may be started on a machine: it is schedulable and confirmed, answers reach it, and the state store lists it as
    * assigned.
@@ -102,22 +86,14 @@
   }
 
   /**
-   * Reserves free CPUs that pending tasks do not need, for a task that is to be stopped and resumed on another machine of this
-   * partition. Returns false if they do not suffice, or if the task saves no checkpoints.
+   * Reserves room that pending tasks do not need, for a task that is to be stopped and resumed on another machine of this partition.
+   * Returns false if there is none, or if the task saves no checkpoints.
    */
-  reserveSlack({ spec }: InFlightTask, now: number): boolean {
-    if (!spec || spec.checkpointIntervalS <= 0) return false;
-    this.slackCpus ??= this.freeCpus(now) - this.pendingCpus();
-    if (this.slackCpus < spec.cpus) return false;
-    this.slackCpus -= spec.cpus;
-    return true;
-  }
-
-  private freeCpus(now: number): number {
-    let free = 0;
-    for (const machine of this.context.machines.values())
-      if (this.acceptsTasks(machine, now)) free += this.context.freeOn(machine)?.cpus ?? 0;
-    return free;
+  reserveSlack({ ref, spec }: InFlightTask, now: number): boolean {
+    const job = this.context.jobs.get(ref);
+    if (!job || !spec || spec.checkpointIntervalS <= 0) return false;
+    this.plan ??= this.createPlan(now);
+    return this.plan.place(job, 1) === 1;
   }
 
   private pendingCpus(): number {
@@ -127,26 +103,33 @@
   }
 
   /**
-   * Chooses as many machines as the pending tasks need: spot machines before on-demand machines, which are more expensive, and of
-   * each kind the fullest first. The others are deprioritized until more tasks are pending, so that expensive and nearly empty
-   * machines become empty and can be deprovisioned. Must be called at each tick.
+   * Chooses the machines that the pending tasks need: spot machines before on-demand machines, which are more expensive, and of each
+   * kind the fullest first. The others are deprioritized until more tasks are pending, so that expensive and nearly empty machines
+   * become empty and can be deprovisioned. Must be called at each tick.
    */
   prioritizeMachines(now: number): void {
-    this.slackCpus = null;
-    let remainingCpus = this.pendingCpus();
-    if (this.context.spreader) return this.prepareSpreading(this.context.spreader, remainingCpus, now);
-    const usable: { machine: MachineState; free: number }[] = [];
+    this.plan = null;
+    const pendingCpus = this.pendingCpus();
+    if (this.context.spreader) return this.prepareSpreading(this.context.spreader, pendingCpus, now);
+    for (const machine of this.context.machines.values()) machine.deprioritized = false;
+    if (pendingCpus === 0) return;
+    this.plan = this.createPlan(now);
+    for (const machine of this.plan.unneededMachines()) machine.deprioritized = true;
+  }
+
+  private createPlan(now: number): PlacementPlan {
+    const rooms: MachineRoom[] = [];
     for (const machine of this.context.machines.values()) {
-      machine.deprioritized = false;
-      if (remainingCpus === 0 || !this.acceptsTasks(machine, now)) continue;
-      const free = this.context.freeOn(machine)?.cpus ?? 0;
-      if (free > 0) usable.push({ machine, free });
-    }
-    usable.sort((a, b) => Number(b.machine.record.spot) - Number(a.machine.record.spot) || a.free - b.free);
-    for (const { machine, free } of usable) {
-      machine.deprioritized = remainingCpus <= 0;
-      remainingCpus -= free;
+      if (!this.acceptsTasks(machine, now)) continue;
+      const room = roomOn(machine, this.context.capacityOf(machine));
+      if (room) rooms.push(room);
     }
+    const onDemand = ({ machine }: MachineRoom): number => (machine.record.spot ? 0 : 1);
+    rooms.sort((a, b) => onDemand(a) - onDemand(b) || a.free.cpus - b.free.cpus);
+    const pending = this.context.jobsInSchedulingOrder().filter(({ pendingCount }) => pendingCount > 0);
+    const plan = new PlacementPlan(rooms, pending.length);
+    plan.placeAll(pending);
+    return plan;
   }
 
   /** Uses all machines that accept tasks; the spreader limits the tasks that each of them is given. */
@@ -265,10 +248,7 @@
     const { spec } = job;
     const fitting = countFitting(free, spec);
     if (fitting === 0 || job.state !== 'open' || !allowsMachine(spec, machine.record)) return 0;
-    // The job has not succeeded anywhere and fails here. Running it on another machine shows whether the job or the machine is
-    // faulty.
-    if (job.doneCount === 0 && (machine.failuresByJob.get(job.ref) ?? 0) >= QUARANTINE_FAILURE_COUNT)
-      return 0;
+    if (avoidsMachine(job, machine)) return 0;
     const remaining = this.context.quota.remaining(spec.team);
     const allowedByQuota = countWithinQuota(remaining, spec);
     const n = Math.min(
@@ -277,7 +257,7 @@
       job.maxNewStarts(now),
       allowedByQuota,
     );
-    if (n === 0 || !(spec.singleZone || spec.spreadZones)) return n;
+    if (n === 0 || !job.isZoneBound) return n;
     return Math.min(n, remainingInZone(spec, machine.record.zone, this.inFlightByZone(job)));
   }
 
--- a/test/support/partition-harness.ts
+++ b/test/support/partition-harness.ts
@@ -2,7 +2,7 @@
 import { type JobSpec } from '../../src/protocol/jobs';
 import { type JobState, type MachineRecord } from '../../src/protocol/records';
 import { type Command, type Heartbeat, type HeartbeatTask } from '../../src/protocol/workers';
-import { SMALL_TYPE } from './machine-types';
+import { LARGE_TYPE, SMALL_TYPE } from './machine-types';
 
 /** The epoch with which the partition under test began. */
 export const OWNER_EPOCH = 100;
@@ -32,7 +32,7 @@
       id: 'p0',
       epoch: OWNER_EPOCH,
       teams: [team, { ...team, name: 'u' }],
-      machineTypes: () => new Map([['small', SMALL_TYPE]]),
+      machineTypes: () => new Map([SMALL_TYPE, LARGE_TYPE].map((type) => [type.name, type])),
       specOfClosedJob: (ref) => this.specs.get(ref),
       options,
       assignedMachines: this.assigned,
