Log the usage of the state store once a minute

The counters of requests and of changes by kind were shown in GET /status only, so nothing was left of them after a run. To be compared before and after changes that write progress.

--- a/src/coordination/controller/controller.ts
+++ b/src/coordination/controller/controller.ts
@@ -27,6 +27,7 @@
 
 const TICK_INTERVAL_MS = 250;
 const STATUS_INTERVAL_MS = 500;
+const STORE_USAGE_LOG_INTERVAL_MS = 60_000;
 /** The histogram library is loaded this long after startup, during which processor time is scarce. */
 const METRICS_LOAD_DELAY_MS = 20_000;
 /** The state store holds a watch for the staleness bound divided by this, and so responds before the replica is too old. */
@@ -93,6 +94,7 @@
     // Requests the machine types at once: without them, no submission can be accepted.
     this.leader.send({ kind: 'tick' });
     schedulePeriodic(this.clock, TICK_INTERVAL_MS, () => this.tick());
+    schedulePeriodic(this.clock, STORE_USAGE_LOG_INTERVAL_MS, () => this.logStoreUsage());
     schedulePeriodic(this.clock, STATUS_INTERVAL_MS, () => this.statusPublisher.publishStatus());
     this.clock.schedule(METRICS_LOAD_DELAY_MS, () => this.metrics.loadHistograms());
   }
@@ -168,6 +170,12 @@
     this.leader.send({ kind: 'tick' });
   }
 
+  /** Logs how much of the state store's rates this process has used since its start. */
+  private logStoreUsage(): void {
+    const { counters, requestedWritesByKind } = this.stateStore;
+    this.log.info({ ...counters, changes: requestedWritesByKind }, 'state store usage');
+  }
+
   /**
    * Refreshes the replica of an owner at intervals, even without changes, so that nearly all of its staleness bound is left
    * when an outage begins.
