Check in simulations that no job is left waiting beside a machine with room

WaitingChecker judges from what machines and users see, and runs in each simulation that has a time without faults (users.faultsEndAt). Jobs can be bound to machine types in simulations, and the cloud can run out of a type.

--- a/test/cluster/cluster-options.ts
+++ b/test/cluster/cluster-options.ts
@@ -19,6 +19,10 @@
   checkpointDurationS: number;
   image: string;
   imageGb: number;
+  /** The only allowed zone; any if absent. */
+  zone?: string;
+  /** The only allowed machine types; any if absent. */
+  machineTypes?: string[];
 }
 
 /** Receives task events for measurements. Times are in virtual milliseconds. */
@@ -40,6 +44,8 @@
   extraRunMs?: number;
   /** Binds some random jobs to a zone and requires others to spread over the zones. */
   zoneConstraints?: boolean;
+  /** Binds some random jobs to a machine type. */
+  typeConstraints?: boolean;
   /** The teams in the settings of a controller that starts now; `TEAMS` by default. */
   teamsInSettings?: () => readonly TeamSettings[];
   machineTypes?: readonly FakeMachineType[];
--- a/test/cluster/directed-days.ts
+++ b/test/cluster/directed-days.ts
@@ -1,4 +1,5 @@
 /** Simulations of specified faults, against each of which some guard in the controllers protects. */
+import { TEAMS, type JobParameters } from './cluster-options';
 import { VirtualCluster } from './virtual-cluster';
 import { schedule, randomOwner, refuseStoreToOwner, type Fault } from './faults';
 
@@ -14,6 +15,7 @@
   for (let n = 0; n < 40; n++)
     cluster.time.at(2500 + cluster.randomInt(100_000), () => cluster.users.submitRandomJob(n));
   for (const at of [30_000, 75_000]) cluster.time.at(at, () => fault(cluster));
+  cluster.users.faultsEndAt = 140_000;
   await cluster.runUntil(SIMULATION_MS);
   return cluster;
 }
@@ -52,3 +54,72 @@
   await cluster.runUntil(120_000);
   return cluster;
 }
+
+/** A cluster with a single partition, whose machines are kept by tasks that run until the end. */
+const ONE_PARTITION = {
+  controllers: 3,
+  maxMachines: 4,
+  teamLimitFactor: 10,
+  teamsInSettings: () => TEAMS.slice(0, 1),
+};
+const LONG_RUN_MS = 400_000;
+const SHORT_RUN_MS = 5000;
+const FILLER_RUN_MS = 15_000;
+const LOSS_AT = 40_000;
+/** Long enough for a task that is left waiting to be noticed. */
+const AFTER_LOSS_MS = 120_000;
+
+function jobOf(overrides: Partial<JobParameters>): JobParameters {
+  return {
+    ...{ team: 'north', tasks: 2, cpus: 1, priority: 'normal', runMs: LONG_RUN_MS, expectedS: 60 },
+    ...{ checkpointIntervalS: 0, checkpointDurationS: 0, image: 'img-0', imageGb: 1, ...overrides },
+  };
+}
+
+/** Terminates the machine on which the first task of the job with this number runs. */
+function terminateMachineOf(cluster: VirtualCluster, n: number): void {
+  const { ref } = cluster.jobs.list[n] ?? { ref: '' };
+  for (const [name, worker] of [...cluster.cloud.workers])
+    if (worker.executes(`${ref}/0`)) return cluster.cloud.terminateMachine(name);
+}
+
+/** Runs a simulation in which a job that is bound to a zone loses its machine. Machines of both zones have room for it. */
+export async function runZoneBoundLoss(seed: number): Promise<VirtualCluster> {
+  const cluster = new VirtualCluster(seed, ONE_PARTITION);
+  const jobs = (['b', 'a'] as const).flatMap((zone) => [
+    jobOf({ zone }),
+    jobOf({ zone, runMs: FILLER_RUN_MS }),
+  ]);
+  for (const [n, job] of jobs.entries())
+    cluster.time.at(4000 + 10 * n, () => cluster.users.submitJob(n, job));
+  // The machines of the other jobs are still full, so this one runs on the second machine of the zone.
+  cluster.time.at(9000, () => cluster.users.submitJob(jobs.length, jobOf({ zone: 'b' })));
+  cluster.time.at(LOSS_AT, () => terminateMachineOf(cluster, 0));
+  cluster.users.faultsEndAt = LOSS_AT;
+  await cluster.runUntil(LOSS_AT + AFTER_LOSS_MS);
+  return cluster;
+}
+
+/**
+ * Runs a simulation in which the cloud has no second machine of the only type that an urgent job allows. Another job of more tasks
+ * than may be started before its first progress is written arrives later.
+ */
+export async function runLargeMachineLoss(seed: number): Promise<VirtualCluster> {
+  const cluster = new VirtualCluster(seed, {
+    ...ONE_PARTITION,
+    initialMachines: [
+      { type: 'small', count: 2 },
+      { type: 'large', count: 1 },
+    ],
+  });
+  cluster.cloud.exhaustedTypes.add('large');
+  const urgent = jobOf({ tasks: 40, priority: 'urgent', machineTypes: ['large'] });
+  const jobs = [urgent, jobOf({ machineTypes: ['small'] })];
+  for (const [n, job] of jobs.entries()) cluster.time.at(4000, () => cluster.users.submitJob(n, job));
+  cluster.time.at(LOSS_AT, () => terminateMachineOf(cluster, 0));
+  const small = jobOf({ tasks: 12, runMs: SHORT_RUN_MS });
+  cluster.time.at(LOSS_AT + 1000, () => cluster.users.submitJob(jobs.length, small));
+  cluster.users.faultsEndAt = LOSS_AT;
+  await cluster.runUntil(LOSS_AT + AFTER_LOSS_MS);
+  return cluster;
+}
--- a/test/cluster/empty-fleet-values.test.ts
+++ b/test/cluster/empty-fleet-values.test.ts
@@ -7,6 +7,7 @@
 // An empty value is kept as long as a retry of the transaction that created it may still be applied, and must be deleted then.
 test('fleet values that no longer hold a machine are deleted', async () => {
   const cluster = new VirtualCluster(5, { controllers: 3, maxMachines: 14, teamLimitFactor: 2 });
+  cluster.users.faultsEndAt = 0;
   for (let n = 0; n < 24; n++) cluster.time.at(2500 + 4000 * n, () => cluster.users.submitRandomJob(n));
   await cluster.runUntil(SIMULATION_MS);
   assert.deepEqual(cluster.rules.violations, []);
--- a/test/cluster/leader-claim.test.ts
+++ b/test/cluster/leader-claim.test.ts
@@ -17,6 +17,8 @@
         );
       });
       cluster.time.at(26_000, () => (cluster.network.delayOneWriteIn = 0));
+      // The crashed controller is back.
+      cluster.users.faultsEndAt = 50_000;
       await cluster.runUntil(49_000);
       const leading = cluster.nodes.filter(
         (n) => n.up && (n.controller?.status() as ControllerStatus).leading,
--- a/test/cluster/partition-creation.test.ts
+++ b/test/cluster/partition-creation.test.ts
@@ -34,6 +34,7 @@
 
 /** Submits a job of each team that is to run, and one of each team that its user cancels. */
 function submitJobsOfAllTeams(cluster: VirtualCluster): void {
+  cluster.users.faultsEndAt = SUBMITTED_AT;
   for (const [n, { name }] of TEAMS.entries()) {
     const cancelled = TEAMS.length + n;
     cluster.time.at(SUBMITTED_AT, () => {
--- a/test/cluster/removed-guards.test.ts
+++ b/test/cluster/removed-guards.test.ts
@@ -4,12 +4,21 @@
 import { MachineState } from '../../src/coordination/partition/machine';
 import { Membership } from '../../src/coordination/membership/membership';
 import { PartitionCore } from '../../src/coordination/partition/partition-core';
+import { PlacementPlan, type MachineRoom } from '../../src/coordination/partition/placement-plan';
+import { takeResources } from '../../src/coordination/partition/resources';
+import { StartWatermarkPlan } from '../../src/coordination/partition/start-watermarks';
 import { LeaseExtensions } from '../../src/coordination/membership/lease-extension';
 import { type JobProgress } from '../../src/protocol/records';
 import { ReplicaView } from '../../src/storage/replica-view';
 import { VirtualCluster } from './virtual-cluster';
 import { schedule, crashAllWhileWorkersHang, isolateOwner, refuseStoreToOwner, type Fault } from './faults';
-import { runWithRepeatedFault, runHangingWatch, runOutageAfterRefusal } from './directed-days';
+import {
+  runHangingWatch,
+  runLargeMachineLoss,
+  runOutageAfterRefusal,
+  runWithRepeatedFault,
+  runZoneBoundLoss,
+} from './directed-days';
 import { patchProperty } from '../support/patch-property';
 
 /**
@@ -149,6 +158,31 @@
     fault: (cluster) => refuseStoreToOwner(cluster, 40_000),
     expectedViolation: /ran_twice|quota|ran_cancelled/,
   },
+  {
+    name: 'free resources count for pending tasks that may not run there when machines are passed over',
+    removeGuard: () => {
+      const placeAnywhere = (
+        planned: { room: MachineRoom; used: boolean },
+        job: PartitionJob,
+        n: number,
+      ): number => {
+        planned.used = true;
+        return takeResources(planned.room.free, job.spec, n);
+      };
+      return patchProperty(PlacementPlan.prototype, 'placeOn', { value: placeAnywhere });
+    },
+    fault: () => undefined,
+    expectedViolation: /left_waiting/,
+    run: runZoneBoundLoss,
+  },
+  {
+    name: 'start watermarks are shared out although a job that takes its share can be placed nowhere',
+    removeGuard: () =>
+      patchProperty(StartWatermarkPlan.prototype, 'raiseBlockedJobs', { value: () => undefined }),
+    fault: () => undefined,
+    expectedViolation: /left_waiting/,
+    run: runLargeMachineLoss,
+  },
 ];
 
 test('removing a guard leads to the expected violation', async (t) => {
--- a/test/cluster/rule-checker.ts
+++ b/test/cluster/rule-checker.ts
@@ -72,6 +72,8 @@
     if (!job.spot && worker.spot) this.recordViolation(`wrong_place: ${taskId} on a spot machine`);
     if (job.zone !== null && worker.zone !== job.zone)
       this.recordViolation(`wrong_place: ${taskId} out of its zone`);
+    if (job.machineTypes !== null && !job.machineTypes.includes(worker.type))
+      this.recordViolation(`wrong_place: ${taskId} on a machine of type ${worker.type}`);
     const zones = executed.filter((task) => task.job === job).map((task) => task.worker.zone);
     const inThisZone = zones.filter((zone) => zone === worker.zone).length;
     if (job.spreadZones && inThisZone > Math.ceil(job.tasks / 2))
--- a/test/cluster/simulated-users.ts
+++ b/test/cluster/simulated-users.ts
@@ -48,6 +48,8 @@
     const job = jobs.add(n, parameters.team, parameters.tasks, parameters.cpus, time.now);
     job.parameters = parameters;
     job.spot = true;
+    job.zone = parameters.zone ?? null;
+    job.machineTypes = parameters.machineTypes ?? null;
     options.taskListener?.submitted(job.ref, parameters, time.now);
     this.submitUntilAccepted(job, {
       urgency: parameters.priority,
@@ -72,6 +74,8 @@
       job.spreadZones = this.randomInt(2) === 0;
       job.zone = job.spreadZones || this.randomInt(2) === 0 ? null : 'a';
     }
+    if (options.typeConstraints && this.randomInt(3) === 0)
+      job.machineTypes = [this.randomInt(2) === 0 ? 'small' : 'large'];
     const urgency = this.randomInt(2) ? 'normal' : 'urgent';
     this.submitUntilAccepted(job, {
       urgency,
@@ -93,8 +97,8 @@
       pieces: job.tasks,
       cpus: job.cpus,
       accelerators: 0,
-      memory_gb: 2,
-      models: null,
+      memory_gb: job.memoryGb,
+      models: job.machineTypes,
       yard: job.zone,
       together: job.singleZone,
       apart: job.spreadZones,
--- a/test/cluster/submitted-jobs.ts
+++ b/test/cluster/submitted-jobs.ts
@@ -1,5 +1,7 @@
 import { type JobParameters } from './cluster-options';
 
+const DEFAULT_MEMORY_GB = 2;
+
 /** A job as its user sees it. */
 export interface UserJob {
   /** The parameters that a test has specified; null for a random job. */
@@ -12,6 +14,9 @@
   singleZone: boolean;
   spreadZones: boolean;
   zone: string | null;
+  memoryGb: number;
+  /** The allowed machine types; null if all are. */
+  machineTypes: string[] | null;
   /** The request body. */
   submission: object;
   accepted: boolean;
@@ -37,6 +42,7 @@
 export class SubmittedJobs {
   readonly list: UserJob[] = [];
   readonly completedTasks = new Set<string>();
+  private readonly jobsByRef = new Map<string, UserJob>();
 
   add(n: number, team: string, tasks: number, cpus: number, now: number): UserJob {
     const job: UserJob = {
@@ -49,6 +55,8 @@
       singleZone: false,
       spreadZones: false,
       zone: null,
+      memoryGb: DEFAULT_MEMORY_GB,
+      machineTypes: null,
       submission: {},
       accepted: false,
       terminalStatus: null,
@@ -59,11 +67,12 @@
       lastAnsweredAt: now,
     };
     this.list.push(job);
+    this.jobsByRef.set(job.ref, job);
     return job;
   }
 
   byRef(ref: string): UserJob | undefined {
-    return this.list.find((job) => job.ref === ref);
+    return this.jobsByRef.get(ref);
   }
 
   /** The job that a task (`job-000001/0`) belongs to. */
--- a/test/cluster/virtual-cluster.ts
+++ b/test/cluster/virtual-cluster.ts
@@ -25,6 +25,7 @@
 import { SimulatedUsers } from './simulated-users';
 import { SubmittedJobs } from './submitted-jobs';
 import { TaskDurations } from './task-durations';
+import { WaitingChecker } from './waiting-checker';
 
 const LIST_LAG_MS = 3000;
 const BOOT_MS = 5000;
@@ -42,6 +43,7 @@
   readonly network: SimulatedNetwork;
   readonly rules: RuleChecker;
   readonly users: SimulatedUsers;
+  private readonly waiting: WaitingChecker;
   /** Number of leases that expired on machines with tasks. */
   expiredLeases = 0;
   private readonly random: RandomSource;
@@ -70,6 +72,12 @@
     const { workers } = this.cloud;
     this.rules = new RuleChecker(jobs, teamSettings(options), workers, () => time.now);
     this.store.onRejected = (reason, transaction) => this.rules.transactionRejected(reason, transaction);
+    this.waiting = new WaitingChecker({
+      jobs,
+      teams: teamSettings(options),
+      cloud: this.cloud,
+      recordViolation: (description) => this.rules.recordViolation(description),
+    });
     this.users = new SimulatedUsers({
       time,
       random: this.random,
@@ -111,6 +119,7 @@
 
   private checkPeriodically(): void {
     this.rules.checkCancelledJobs();
+    if (this.time.now >= this.users.faultsEndAt) this.waiting.check(this.time.now);
     this.network.replayHeartbeats();
     this.time.at(this.time.now + RULE_CHECK_INTERVAL_MS, () => this.checkPeriodically());
   }
--- a/test/standin/fake-cloud.ts
+++ b/test/standin/fake-cloud.ts
@@ -52,6 +52,8 @@
   unavailable = false;
   /** Whether requests to return machines get 503. */
   refusesReturns = false;
+  /** Machine types of which the cloud provisions no more. */
+  readonly exhaustedTypes = new Set<string>();
   /** Number of machines that were preempted or deprovisioned. */
   terminatedCount = 0;
   private readonly booting = new Map<string, WireMachine>();
@@ -138,7 +140,8 @@
     const repeated = this.provisionedByRequest.get(body.hire_order);
     if (repeated) return jsonResponse(200, { velodromes: repeated });
     const available = this.options.maxMachines - this.workers.size - this.booting.size;
-    if (available <= 0) return jsonResponse(503, { error: 'no capacity' });
+    if (available <= 0 || this.exhaustedTypes.has(body.model))
+      return jsonResponse(503, { error: 'no capacity' });
     const names: string[] = [];
     for (let i = 0; i < Math.min(available, body.how_many); i++) {
       const bootMs = this.options.bootMs * this.bootFactor();
