A simulated machine that resumes after its lease drops its tasks at once

Traced: a machine resumed after a hang longer than its lease. PROTOCOL, "Leases": the worker kills and forgets every task, and "Delayed messages": it may resume at any time within its lease. The simulated worker dropped them only at its next step, up to 100 ms later, and until then its tasks counted as executed, while the controllers had rightly started them elsewhere. The check is as strict as before; only the moment of the drop is right.

--- a/test/standin/fake-worker.ts
+++ b/test/standin/fake-worker.ts
@@ -75,7 +75,7 @@
   readonly spot: boolean;
   readonly tasks = new Map<string, TaskAttempt>();
   up = true;
-  hung = false;
+  private isHung = false;
   /** Whether its heartbeats reach no controller. */
   heartbeatsLost = false;
   /** Whether its heartbeats arrive but the responses to them are lost. */
@@ -104,6 +104,16 @@
     this.loop();
   }
 
+  /** Whether the machine hangs. When it resumes after its lease has expired, it drops its tasks before anything else. */
+  get hung(): boolean {
+    return this.isHung;
+  }
+
+  set hung(hung: boolean) {
+    this.isHung = hung;
+    if (!hung && this.up) this.checkLease();
+  }
+
   /** Whether a task occupies its share of the machine now. */
   executes(taskId: string): boolean {
     // A worker that has hung for longer than its lease executes nothing: when it resumes, it first drops all tasks.
