--- a/test/cluster/combined-faults.test.ts
+++ b/test/cluster/combined-faults.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { VirtualCluster } from './virtual-cluster';
+import { clusterWithZoneBoundJobs } from './directed-days';
 import {
   schedule,
   cutOwnerFromWorkers,
@@ -77,16 +77,7 @@
   for (const [name, fault] of Object.entries(combinedFaults)) {
     for (const seed of [1, 2]) {
       await t.test(`${name}, seed ${seed}`, async () => {
-        const cluster = new VirtualCluster(seed, {
-          controllers: 3,
-          maxMachines: 12,
-          teamLimitFactor: 2,
-          extraRunMs: 4000,
-          zoneConstraints: true,
-        });
-        cluster.users.faultsEndAt = 130_000;
-        for (let n = 0; n < 32; n++)
-          cluster.time.at(2500 + cluster.randomInt(80_000), () => cluster.users.submitRandomJob(n));
+        const cluster = clusterWithZoneBoundJobs(seed, 130_000);
         for (const at of [25_000, 75_000]) cluster.time.at(at, () => fault(cluster));
         await cluster.runUntil(340_000);
         assert.deepEqual(cluster.rules.violations, []);
--- a/test/cluster/directed-days.ts
+++ b/test/cluster/directed-days.ts
@@ -9,6 +9,21 @@
 /** Options for tasks that run longer than an outage: at least 122 s. */
 export const LONG_TASKS = { controllers: 3, maxMachines: 10, teamLimitFactor: 1, extraRunMs: 120_000 };
 
+/** A cluster to which 32 random jobs, some of them bound to zones, come within 80 s. All faults must be over at `faultsEndAt`. */
+export function clusterWithZoneBoundJobs(seed: number, faultsEndAt: number): VirtualCluster {
+  const cluster = new VirtualCluster(seed, {
+    controllers: 3,
+    maxMachines: 12,
+    teamLimitFactor: 2,
+    extraRunMs: 4000,
+    zoneConstraints: true,
+  });
+  cluster.users.faultsEndAt = faultsEndAt;
+  for (let n = 0; n < 32; n++)
+    cluster.time.at(2500 + cluster.randomInt(80_000), () => cluster.users.submitRandomJob(n));
+  return cluster;
+}
+
 /** Runs random jobs and injects the same fault twice. */
 export async function runWithRepeatedFault(seed: number, fault: Fault): Promise<VirtualCluster> {
   const cluster = new VirtualCluster(seed);
--- a/test/cluster/overlapping-faults.test.ts
+++ b/test/cluster/overlapping-faults.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { VirtualCluster } from './virtual-cluster';
+import { clusterWithZoneBoundJobs } from './directed-days';
 import { schedule, leaderIndex, ownerIndex, ownerNode, type Fault } from './faults';
 
 const SIMULATION_MS = 340_000;
@@ -75,16 +75,7 @@
   for (const [name, fault] of Object.entries(overlappingFaults)) {
     for (const seed of [1, 2, 3]) {
       await t.test(`${name}, seed ${seed}`, async () => {
-        const cluster = new VirtualCluster(seed, {
-          controllers: 3,
-          maxMachines: 12,
-          teamLimitFactor: 2,
-          extraRunMs: 4000,
-          zoneConstraints: true,
-        });
-        cluster.users.faultsEndAt = 135_000;
-        for (let n = 0; n < 32; n++)
-          cluster.time.at(2500 + cluster.randomInt(80_000), () => cluster.users.submitRandomJob(n));
+        const cluster = clusterWithZoneBoundJobs(seed, 135_000);
         for (const at of [25_000, 78_000]) cluster.time.at(at, () => fault(cluster));
         await cluster.runUntil(SIMULATION_MS);
         assert.deepEqual(cluster.rules.violations, []);
--- a/test/cluster/zone-cut.test.ts
+++ b/test/cluster/zone-cut.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { clusterWithZoneBoundJobs } from './directed-days';
 import { leaderIndex } from './faults';
-import { VirtualCluster } from './virtual-cluster';
 
 const SIMULATION_MS = 300_000;
 const CUT_AT = 30_000;
@@ -13,17 +13,8 @@
   for (const cutMs of [6000, 25_000, 45_000])
     for (const seed of [1, 2, 3])
       await t.test(`for ${cutMs / 1000} s, seed ${seed}`, async () => {
-        const cluster = new VirtualCluster(seed, {
-          controllers: 3,
-          maxMachines: 12,
-          teamLimitFactor: 2,
-          extraRunMs: 4000,
-          zoneConstraints: true,
-        });
-        cluster.users.faultsEndAt = SECOND_CUT_AT + cutMs;
+        const cluster = clusterWithZoneBoundJobs(seed, SECOND_CUT_AT + cutMs);
         cluster.network.delayOneWriteIn = 8;
-        for (let n = 0; n < 32; n++)
-          cluster.time.at(2500 + cluster.randomInt(80_000), () => cluster.users.submitRandomJob(n));
         for (const at of [CUT_AT, SECOND_CUT_AT]) {
           cluster.time.at(at, () => (cluster.network.isolatedZone = 'a'));
           cluster.time.at(at + cutMs / 2, () => cluster.users.cancelRunningJobs(3));
