Use one piece of code for machine kinds, remaining quotas and subtracted resources

The names of unserved teams are computed in one place, an extension of a partition carries the partition that it extends instead of being looked up again, and changeOwner, which creates and extends partitions as well, is writeRecord.

--- a/src/coordination/controller/controller.ts
+++ b/src/coordination/controller/controller.ts
@@ -13,7 +13,7 @@
 import { type LoadBalancing } from '../balancing/balancing';
 import { CloudClient, type CloudTransport } from '../leader/cloud-client';
 import { Leader } from '../leader/leader';
-import { unservedTeams } from '../leader/team-partitions';
+import { unservedTeamNames } from '../leader/team-partitions';
 import { LeaseExtensions } from '../membership/lease-extension';
 import { Membership } from '../membership/membership';
 import { maxStalenessMs, refreshIntervalMs } from '../membership/staleness-bound';
@@ -125,17 +125,12 @@
       store: { ...this.stateStore.counters, changes: this.stateStore.requestedWritesByKind },
       users: this.jobService.counters,
       took: this.metrics.summary(),
-      unservedTeams: this.unservedTeamNames(),
+      unservedTeams: unservedTeamNames(this.settings.teams, this.replica.partitions.values()),
       partitions: [...this.partitions.values()].map((partition) => partition.core.statusSummary()),
       ...(balancing ? { balance: this.balanceStatus(balancing) } : {}),
     };
   }
 
-  /** Teams whose jobs no controller schedules. There are none once the leader has created all partitions. */
-  private unservedTeamNames(): string[] {
-    return unservedTeams(this.settings.teams, this.replica.partitions.values()).map(({ name }) => name);
-  }
-
   /** The state of load balancing: the leader, the task moves in progress here and, if this controller leads, the fleet. */
   private balanceStatus({ fleet }: LoadBalancing): object {
     const leader = this.replica.leader?.member ?? null;
--- a/src/coordination/fleet/capacity-plan.ts
+++ b/src/coordination/fleet/capacity-plan.ts
@@ -1,7 +1,8 @@
 import { type MachineType } from '../../protocol/cloud';
 import { DRAIN_TO_CLOUD, type MachineLoad, type PartitionLoad } from '../../protocol/peers';
+import { kindKey } from '../partition/placement';
 import { fullCapacity } from './demand-matching';
-import { kindKey, type FleetAction, type FleetMachine, type FleetSnapshot } from './fleet-snapshot';
+import { type FleetAction, type FleetMachine, type FleetSnapshot } from './fleet-snapshot';
 import { planPartition, type MachineCapacity, type PlannedPartition } from './planned-partition';
 
 /** After this long without a submission, little spare capacity is kept for the next one. */
--- a/src/coordination/fleet/demand-matching.ts
+++ b/src/coordination/fleet/demand-matching.ts
@@ -1,9 +1,7 @@
 import { type MachineType } from '../../protocol/cloud';
 import { type Demand } from '../../protocol/peers';
-import { allowsMachineType } from '../partition/placement';
-import { countFitting } from '../partition/resources';
-import { type Resources } from '../partition/resources';
-import { type MachineKind } from './fleet-snapshot';
+import { allowsMachineType, type MachineKind } from '../partition/placement';
+import { countFitting, type Resources } from '../partition/resources';
 
 /** An existing machine, or one that could be provisioned. */
 export interface MachineOption {
--- a/src/coordination/fleet/fleet-history.ts
+++ b/src/coordination/fleet/fleet-history.ts
@@ -1,7 +1,8 @@
 import { type ListedMachine, type ProvisionRequest } from '../../protocol/cloud';
 import { type PartitionLoad } from '../../protocol/peers';
 import { type MachineRecord } from '../../protocol/records';
-import { type FleetMachine, type MachineKind } from './fleet-snapshot';
+import { type MachineKind } from '../partition/placement';
+import { type FleetMachine } from './fleet-snapshot';
 
 /** What the leader has observed of a machine in its term. Times are in milliseconds of the steady clock. */
 interface MachineHistory {
--- a/src/coordination/fleet/fleet-snapshot.ts
+++ b/src/coordination/fleet/fleet-snapshot.ts
@@ -1,19 +1,7 @@
 import { type ProvisionRequest, type MachineType } from '../../protocol/cloud';
 import { type PartitionLoad } from '../../protocol/peers';
 import { type Policy } from '../../protocol/policy';
-
-/** A machine type in a zone, at the spot price or on demand. */
-export interface MachineKind {
-  type: string;
-  zone: string;
-  /** True for a machine at the spot price, which the cloud may reclaim; false for an on-demand machine. */
-  spot: boolean;
-}
-
-/** The key of a machine kind in maps. */
-export function kindKey({ type, zone, spot }: MachineKind): string {
-  return `${type}/${zone}/${spot}`;
-}
+import { type MachineKind } from '../partition/placement';
 
 /** A machine as the leader knows it. */
 export interface FleetMachine extends MachineKind {
--- a/src/coordination/fleet/scale-out.ts
+++ b/src/coordination/fleet/scale-out.ts
@@ -1,10 +1,10 @@
 import { type ProvisionRequest, type MachineType } from '../../protocol/cloud';
 import { PRIORITIES } from '../../protocol/jobs';
 import { type Demand } from '../../protocol/peers';
+import { kindKey } from '../partition/placement';
 import { countFitting, takeResources } from '../partition/resources';
 import { type CapacityPlan, type EmptyMachine } from './capacity-plan';
 import { allowsMachineKind, canRun, fullCapacity } from './demand-matching';
-import { kindKey } from './fleet-snapshot';
 import {
   placeOnMachines,
   type MachineCapacity,
--- a/src/coordination/leader/fleet-planner.ts
+++ b/src/coordination/leader/fleet-planner.ts
@@ -14,7 +14,7 @@
 import { type MachineDeprovisioner } from './machine-deprovisioner';
 import { type MachineProvisioner } from './machine-provisioner';
 import { type PartitionLoads } from './partition-loads';
-import { unservedTeams } from './team-partitions';
+import { unservedTeamNames } from './team-partitions';
 
 const MIN_PLANNING_INTERVAL_MS = 500;
 /** Interval of planning without new partition loads, when there is little to decide, and upper bound of the pacer's interval. */
@@ -137,9 +137,9 @@
     const partitions = loads.map((load) =>
       fleetSummary(load, machines, catalog.types, settings.heartbeatIntervalMs),
     );
-    const unserved = unservedTeams(settings.teams, replica.partitions.values()).map(({ name }) => name);
+    const unservedTeams = unservedTeamNames(settings.teams, replica.partitions.values());
     const scaledIn = deprovisioner.takeCountsByReason();
-    log.info({ partitions, unservedTeams: unserved, scaledIn }, 'fleet status');
+    log.info({ partitions, unservedTeams, scaledIn }, 'fleet status');
   }
 }
 
--- a/src/coordination/leader/machine-provisioner.ts
+++ b/src/coordination/leader/machine-provisioner.ts
@@ -1,6 +1,7 @@
 import { type ProvisionRequest } from '../../protocol/cloud';
 import { type MachineRecord } from '../../protocol/records';
-import { type FleetAction, kindKey, type MachineKind } from '../fleet/fleet-snapshot';
+import { type FleetAction } from '../fleet/fleet-snapshot';
+import { kindKey, type MachineKind } from '../partition/placement';
 import { type FleetHistory } from '../fleet/fleet-history';
 import { type CloudClient, type ProvisionResult } from './cloud-client';
 import { type MachineRegistry } from './machine-registry';
--- a/src/coordination/leader/machine-registry.ts
+++ b/src/coordination/leader/machine-registry.ts
@@ -9,7 +9,7 @@
 import { type MachineRecord } from '../../protocol/records';
 import { type Settings } from '../../protocol/settings';
 import { type Heartbeat } from '../../protocol/workers';
-import { type MachineKind } from '../fleet/fleet-snapshot';
+import { type MachineKind } from '../partition/placement';
 import { type Membership } from '../membership/membership';
 import { NewMachineWriter } from './new-machine-writer';
 
--- a/src/coordination/leader/partition-assignment.ts
+++ b/src/coordination/leader/partition-assignment.ts
@@ -10,7 +10,13 @@
 import { type LeaseExtensions } from '../membership/lease-extension';
 import { Reachability } from '../membership/reachability';
 import { type PartitionLoads } from './partition-loads';
-import { planExtensions, planPartitions, unservedTeams, type PlannedPartition } from './team-partitions';
+import {
+  planExtensions,
+  planPartitions,
+  unservedTeams,
+  type PartitionExtension,
+  type PlannedPartition,
+} from './team-partitions';
 
 /** Two controllers can handle all heartbeats. With more partitions, more machines are idle in one while another lacks them. */
 const MAX_PARTITION_COUNT = 2;
@@ -41,8 +47,8 @@
  */
 type PartitionCounts = Map<string, number>;
 
-/** A change of a partition's owner. */
-interface OwnerChange {
+/** A partition's record that is to be written: its owner or its teams change, or it is created. */
+interface RecordChange {
   partition: string;
   teams: string[];
   owner: string;
@@ -160,7 +166,7 @@
       const owner = this.leastLoaded(counts);
       if (!owner) return;
       const change = { partition: id, teams, owner, epoch: 0, failedOwner: null, unchanged };
-      const revision = await this.changeOwner(change);
+      const revision = await this.writeRecord(change);
       if (revision === null) return;
       incrementCount(counts, owner);
       unchanged.push({ key: keys.partition(id), revision });
@@ -172,24 +178,17 @@
    * the record has a new epoch. A partition without a live owner is extended once it has one.
    */
   private async extendPartitions(
-    planned: readonly PlannedPartition[],
+    planned: readonly PartitionExtension[],
     partitions: readonly StoredPartition[],
   ): Promise<void> {
     // One in each round: it changes a record that the others would be conditional on.
-    const extended = partitions.find((p) => this.isOwnerLive(p) && planned.some(({ id }) => id === p.id));
-    if (!extended) return;
-    const { id, record, epoch } = extended;
-    const added = planned.find((extension) => extension.id === id)?.teams ?? [];
-    const teams = [...record.teams, ...added];
-    const unchanged = partitions.filter((other) => other !== extended).map(unchangedRecord);
-    await this.changeOwner({
-      partition: id,
-      teams,
-      owner: record.owner,
-      epoch,
-      failedOwner: null,
-      unchanged,
-    });
+    const extension = planned.find(({ partition }) => this.isOwnerLive(partition));
+    if (!extension) return;
+    const { id, record, epoch } = extension.partition;
+    const teams = [...record.teams, ...extension.teams];
+    const { owner } = record;
+    const unchanged = partitions.filter((other) => other !== extension.partition).map(unchangedRecord);
+    await this.writeRecord({ partition: id, teams, owner, epoch, failedOwner: null, unchanged });
   }
 
   /**
@@ -212,12 +211,12 @@
       const failedOwner = members.has(record.owner) ? null : record.owner;
       if (failedOwner && !extensions.permitsTakeover(failedOwner, now)) continue;
       const change = { partition: id, teams: record.teams, owner, epoch, failedOwner };
-      if ((await this.changeOwner(change)) !== null) incrementCount(counts, owner);
+      if ((await this.writeRecord(change)) !== null) incrementCount(counts, owner);
     }
   }
 
-  /** Writes a partition's record with its new owner. Resolves to the record's revision, or null unless it was certainly written. */
-  private async changeOwner(change: OwnerChange): Promise<number | null> {
+  /** Writes a partition's record. Resolves to the record's revision, or null unless it was certainly written. */
+  private async writeRecord(change: RecordChange): Promise<number | null> {
     const { partition, teams, owner, epoch, failedOwner, unchanged = [] } = change;
     const { replica, stateStore, log } = this.deps;
     const incarnation = replica.members.get(owner) ?? 0;
--- a/src/coordination/leader/team-partitions.ts
+++ b/src/coordination/leader/team-partitions.ts
@@ -40,12 +40,23 @@
   return teams.filter(({ name }) => !served.has(name));
 }
 
-/** A partition that is to be created or extended, and the teams that it is given. */
+/** The names of the teams that belong to none of the partitions. */
+export function unservedTeamNames(teams: readonly Team[], partitions: Iterable<StoredPartition>): string[] {
+  return unservedTeams(teams, partitions).map(({ name }) => name);
+}
+
+/** A partition that is to be created, and its teams. */
 export interface PlannedPartition {
   id: string;
   teams: string[];
 }
 
+/** A partition that is to be extended, and the teams that it is given in addition to its own. */
+export interface PartitionExtension {
+  partition: StoredPartition;
+  teams: readonly string[];
+}
+
 /**
  * Divides teams that belong to no partition among new ones, up to a total of `maxCount` partitions. Always uses the first ids that
  * are free: repeated with the same teams and existing partitions, the plan is the same.
@@ -74,13 +85,11 @@
   unserved: readonly Team[],
   teams: readonly Team[],
   partitions: readonly StoredPartition[],
-): PlannedPartition[] {
-  const groups = partitions.map(({ id, record }) => {
-    const current = teams.filter(({ name }) => record.teams.includes(name));
-    return { id, teams: [], weight: current.reduce((sum, team) => sum + weightOf(team), 0) };
+): PartitionExtension[] {
+  const extensions = partitions.map((partition) => {
+    const current = teams.filter(({ name }) => partition.record.teams.includes(name));
+    return { partition, teams: [], weight: current.reduce((sum, team) => sum + weightOf(team), 0) };
   });
-  distributeTeams(unserved, groups);
-  return groups
-    .filter((group) => group.teams.length > 0)
-    .map((group) => ({ id: group.id, teams: group.teams }));
+  distributeTeams(unserved, extensions);
+  return extensions.filter((extension) => extension.teams.length > 0);
 }
--- a/src/coordination/partition/job.ts
+++ b/src/coordination/partition/job.ts
@@ -2,6 +2,7 @@
 import { decodeRanges, encodeRanges } from '../../protocol/task-ranges';
 import { INITIAL_START_WATERMARK, type JobProgress, type JobState } from '../../protocol/records';
 import { type MachineState } from './machine';
+import { isZoneBound } from './placement';
 import { MIN_TASK_CPUS } from './resources';
 
 /**
@@ -105,12 +106,13 @@
 
   /** Whether the zones in which a task may run depend on where the other tasks of the job are. */
   get isZoneBound(): boolean {
-    return this.spec.singleZone || this.spec.spreadZones;
+    return isZoneBound(this.spec);
   }
 
-  /** Number of tasks in flight in each zone. */
+  /** Number of tasks in flight in each zone, if the job is zone-bound; otherwise empty. */
   inFlightByZone(): Map<string, number> {
     const zones = new Map<string, number>();
+    if (!this.isZoneBound) return zones;
     for (const { record } of this.inFlight.values())
       zones.set(record.zone, (zones.get(record.zone) ?? 0) + 1);
     return zones;
--- a/src/coordination/partition/machine.ts
+++ b/src/coordination/partition/machine.ts
@@ -4,6 +4,7 @@
 import { type Command, type Heartbeat, type HeartbeatTask } from '../../protocol/workers';
 import { taskKey, type InFlightTask, type LostTask, type TaskExit } from './in-flight-task';
 import { MachineUsage } from './machine-usage';
+import { kindKey } from './placement';
 import { type Resources } from './resources';
 
 /** The changes that a heartbeat has revealed. */
@@ -39,6 +40,7 @@
 export class MachineState {
   readonly id: string;
   private currentRecord: MachineRecord;
+  /** Computed once, because plans read it for every machine at every tick. */
   private currentKindKey: string;
   /** Revision of the record. */
   revision: number;
@@ -82,7 +84,7 @@
   constructor({ id, record, revision, confirmed, now }: MachineStateOptions) {
     this.id = id;
     this.currentRecord = record;
-    this.currentKindKey = kindKeyOf(record);
+    this.currentKindKey = kindKey(record);
     this.revision = revision;
     this.confirmed = confirmed;
     this.leaseRenewedAt = now;
@@ -96,7 +98,7 @@
 
   set record(record: MachineRecord) {
     this.currentRecord = record;
-    this.currentKindKey = kindKeyOf(record);
+    this.currentKindKey = kindKey(record);
   }
 
   /** Equal for machines of the same type, zone and price model. */
@@ -352,10 +354,6 @@
   }
 }
 
-function kindKeyOf({ type, zone, spot }: MachineRecord): string {
-  return `${type} ${zone} ${spot}`;
-}
-
 /** Whether a heartbeat was sent after the heartbeat with the given agent epoch and sequence number. */
 function isAfter(heartbeat: Heartbeat, agentEpoch: number, sequence: number): boolean {
   if (heartbeat.agentEpoch !== agentEpoch) return heartbeat.agentEpoch > agentEpoch;
--- a/src/coordination/partition/partition-demands.ts
+++ b/src/coordination/partition/partition-demands.ts
@@ -1,11 +1,8 @@
 import { type Demand } from '../../protocol/peers';
-import { type ResourceQuota } from '../../protocol/settings';
 import { type PartitionJob } from './job';
 import { type PartitionState } from './partition-state';
 import { eligibleZones } from './placement';
-import { countWithinQuota } from './resources';
-
-const NO_TASKS: ReadonlyMap<string, number> = new Map();
+import { RemainingQuota } from './remaining-quota';
 
 /**
  * The demands of a partition's pending tasks, in scheduling order. Tasks that need the same machines share a demand, and each team
@@ -13,41 +10,17 @@
  */
 export function partitionDemands(partition: PartitionState, now: number): Demand[] {
   const demandsByKey = new Map<string, Demand>();
-  const quota = new RemainingQuota(partition);
+  const quota = new RemainingQuota(partition.quota);
   const allZones = new Set([...partition.machineTypes().values()].flatMap((type) => type.zones));
   for (const job of partition.jobsInSchedulingOrder()) {
     if (job.pendingCount === 0 || job.state !== 'open') continue;
     // A job that fails everywhere counts at most with the one task that may be started, so that no machines are provisioned for it.
-    const tasks = quota.take(job, Math.min(job.pendingCount, job.maxNewStarts(now)));
+    const tasks = quota.take(job.spec, Math.min(job.pendingCount, job.maxNewStarts(now)));
     if (tasks > 0) addDemand(demandsByKey, demandOf(partition, job, tasks, allZones));
   }
   return [...demandsByKey.values()];
 }
 
-/** The remaining quota of each team while the demands of its jobs are added up. */
-class RemainingQuota {
-  private readonly remainingByTeam = new Map<string, ResourceQuota>();
-
-  constructor(private readonly partition: PartitionState) {}
-
-  /** Takes the quota of up to `maxTasks` tasks of a job, and returns their number. */
-  take({ spec }: PartitionJob, maxTasks: number): number {
-    const remaining = this.remainingOf(spec.team);
-    const tasks = Math.min(maxTasks, countWithinQuota(remaining, spec));
-    remaining.cpus -= tasks * spec.cpus;
-    remaining.accelerators -= tasks * spec.accelerators;
-    return tasks;
-  }
-
-  private remainingOf(team: string): ResourceQuota {
-    const known = this.remainingByTeam.get(team);
-    if (known) return known;
-    const remaining = this.partition.quota.remaining(team);
-    this.remainingByTeam.set(team, remaining);
-    return remaining;
-  }
-}
-
 function demandOf(
   partition: PartitionState,
   job: PartitionJob,
@@ -55,8 +28,7 @@
   allZones: ReadonlySet<string>,
 ): Demand {
   const { workload, cpus, accelerators, memoryGb, machineTypes, spot, priority } = job.spec;
-  const inFlightByZone = job.isZoneBound ? job.inFlightByZone() : NO_TASKS;
-  const zones = eligibleZones(job.spec, allZones, inFlightByZone);
+  const zones = eligibleZones(job.spec, allZones, job.inFlightByZone());
   const expectedS = partition.estimates.expectedSeconds(job.spec);
   return { workload, cpus, accelerators, memoryGb, machineTypes, zones, spot, priority, tasks, expectedS };
 }
--- a/src/coordination/partition/placement.ts
+++ b/src/coordination/partition/placement.ts
@@ -2,13 +2,24 @@
 import { type JobSpec } from '../../protocol/jobs';
 import { countFitting } from './resources';
 
-/** The properties of a machine that decide whether a job allows it. */
-interface MachineKind {
+/** A machine type in a zone, at the spot price or on demand. */
+export interface MachineKind {
   type: string;
   zone: string;
+  /** True for a machine at the spot price, which the cloud may reclaim; false for an on-demand machine. */
   spot: boolean;
 }
 
+/** The key of a machine kind in maps. */
+export function kindKey({ type, zone, spot }: MachineKind): string {
+  return `${type}/${zone}/${spot}`;
+}
+
+/** Whether the zones in which a task of a job may run depend on where the other tasks of the job are. */
+export function isZoneBound({ singleZone, spreadZones }: JobSpec): boolean {
+  return singleZone || spreadZones;
+}
+
 /** Whether a job allows a machine's type and its price model (spot or not), in any zone. */
 export function allowsMachineType(
   job: { machineTypes: string[] | null; spot: boolean },
@@ -49,7 +60,7 @@
   inFlightByZone: ReadonlyMap<string, number>,
 ): string[] | null {
   if (spec.zone !== null) return [spec.zone];
-  if (inFlightByZone.size === 0 || !(spec.singleZone || spec.spreadZones)) return null;
+  if (inFlightByZone.size === 0 || !isZoneBound(spec)) return null;
   return [...zones].filter((zone) => remainingInZone(spec, zone, inFlightByZone) > 0);
 }
 
--- a/src/coordination/partition/resources.ts
+++ b/src/coordination/partition/resources.ts
@@ -31,15 +31,13 @@
 /** Subtracts the needs of as many tasks as fit, at most `maxCount`, from the free resources, in place. Returns their number. */
 export function takeResources(free: Resources, need: Resources, maxCount: number): number {
   const count = Math.min(maxCount, countFitting(free, need));
-  free.cpus -= count * need.cpus;
-  free.accelerators -= count * need.accelerators;
-  free.memoryGb -= count * need.memoryGb;
+  subtractResources(free, need, count);
   return count;
 }
 
-/** Subtracts the needs of one task from the free resources, in place. */
-export function subtractResources(free: Resources, need: Resources): void {
-  free.cpus -= need.cpus;
-  free.accelerators -= need.accelerators;
-  free.memoryGb -= need.memoryGb;
+/** Subtracts the needs of `count` tasks from the free resources, in place. */
+export function subtractResources(free: Resources, need: Resources, count = 1): void {
+  free.cpus -= count * need.cpus;
+  free.accelerators -= count * need.accelerators;
+  free.memoryGb -= count * need.memoryGb;
 }
--- a/src/coordination/partition/start-watermarks.ts
+++ b/src/coordination/partition/start-watermarks.ts
@@ -1,9 +1,9 @@
 import { INITIAL_START_WATERMARK, type JobProgress } from '../../protocol/records';
-import { type ResourceQuota } from '../../protocol/settings';
 import { type PartitionJob } from './job';
 import { type PartitionState } from './partition-state';
 import { PlacementPlan, roomOn, type MachineRoom } from './placement-plan';
-import { countWithinQuota, MIN_TASK_CPUS } from './resources';
+import { RemainingQuota } from './remaining-quota';
+import { MIN_TASK_CPUS } from './resources';
 
 /** Share of the partition's capacity, and of a team's usage, by which start watermarks run ahead of the tasks that can start. */
 const WATERMARK_AHEAD_RATIO = 0.5;
@@ -71,14 +71,10 @@
     const blocked = new Set(waiting.filter((job) => this.isBlocked(job)));
     if (blocked.size === 0) return;
     const plan = new PlacementPlan(this.roomOnMachines(), waiting.length);
-    const remainingByTeam = new Map<string, ResourceQuota>();
+    const quota = new RemainingQuota(this.partition.quota);
     for (const job of waiting) {
-      const { team, cpus, accelerators } = job.spec;
-      const remaining = remainingByTeam.get(team) ?? { ...this.partition.quota.remaining(team) };
-      remainingByTeam.set(team, remaining);
-      const placed = plan.place(job, Math.min(this.waitingTasks(job), countWithinQuota(remaining, job.spec)));
-      remaining.cpus -= placed * cpus;
-      remaining.accelerators -= placed * accelerators;
+      const placed = plan.place(job, quota.count(job.spec, this.waitingTasks(job)));
+      quota.take(job.spec, placed);
       if (placed > 0 && blocked.has(job))
         this.watermarks.set(job, this.watermarkFor(job, placed + tasksAhead(job)));
     }
