--- a/test/cluster/directed-days.ts
+++ b/test/cluster/directed-days.ts
@@ -1,5 +1,6 @@
 /** Simulations of specified faults, against each of which some guard in the controllers protects. */
 import { TEAMS, type JobParameters } from './cluster-options';
+import { jobParameters } from './job-parameters';
 import { VirtualCluster } from './virtual-cluster';
 import { schedule, randomOwner, refuseStoreToOwner, type Fault } from './faults';
 
@@ -84,11 +85,9 @@
 /** Long enough for a task that is left waiting to be noticed. */
 const AFTER_LOSS_MS = 120_000;
 
-function jobOf(overrides: Partial<JobParameters>): JobParameters {
-  return {
-    ...{ team: 'north', tasks: 2, cpus: 1, priority: 'normal', runMs: LONG_RUN_MS, expectedS: 60 },
-    ...{ checkpointIntervalS: 0, checkpointDurationS: 0, image: 'img-0', imageGb: 1, ...overrides },
-  };
+/** A job whose tasks run until the end, unless it overrides that. */
+function longJob(overrides: Partial<JobParameters>): JobParameters {
+  return jobParameters({ runMs: LONG_RUN_MS, expectedS: 60, ...overrides });
 }
 
 /** Terminates the machine on which the first task of the job with this number runs. */
@@ -102,13 +101,13 @@
 export async function runZoneBoundLoss(seed: number): Promise<VirtualCluster> {
   const cluster = new VirtualCluster(seed, ONE_PARTITION);
   const jobs = (['b', 'a'] as const).flatMap((zone) => [
-    jobOf({ zone }),
-    jobOf({ zone, runMs: FILLER_RUN_MS }),
+    longJob({ zone }),
+    longJob({ zone, runMs: FILLER_RUN_MS }),
   ]);
   for (const [n, job] of jobs.entries())
     cluster.time.at(4000 + 10 * n, () => cluster.users.submitJob(n, job));
   // The machines of the other jobs are still full, so this one runs on the second machine of the zone.
-  cluster.time.at(9000, () => cluster.users.submitJob(jobs.length, jobOf({ zone: 'b' })));
+  cluster.time.at(9000, () => cluster.users.submitJob(jobs.length, longJob({ zone: 'b' })));
   cluster.time.at(LOSS_AT, () => terminateMachineOf(cluster, 0));
   cluster.users.faultsEndAt = LOSS_AT;
   await cluster.runUntil(LOSS_AT + AFTER_LOSS_MS);
@@ -128,11 +127,11 @@
     ],
   });
   cluster.cloud.exhaustedTypes.add('large');
-  const urgent = jobOf({ tasks: 40, priority: 'urgent', machineTypes: ['large'] });
-  const jobs = [urgent, jobOf({ machineTypes: ['small'] })];
+  const urgent = longJob({ tasks: 40, priority: 'urgent', machineTypes: ['large'] });
+  const jobs = [urgent, longJob({ machineTypes: ['small'] })];
   for (const [n, job] of jobs.entries()) cluster.time.at(4000, () => cluster.users.submitJob(n, job));
   cluster.time.at(LOSS_AT, () => terminateMachineOf(cluster, 0));
-  const small = jobOf({ tasks: 12, runMs: SHORT_RUN_MS });
+  const small = longJob({ tasks: 12, runMs: SHORT_RUN_MS });
   cluster.time.at(LOSS_AT + 1000, () => cluster.users.submitJob(jobs.length, small));
   cluster.users.faultsEndAt = LOSS_AT;
   await cluster.runUntil(LOSS_AT + AFTER_LOSS_MS);
--- a/test/cluster/partition-creation.test.ts
+++ b/test/cluster/partition-creation.test.ts
@@ -4,6 +4,7 @@
 import { type TransactionBody } from '../standin/transaction-limits';
 import { DEFAULT_OPTIONS, TEAMS, type JobParameters, type TeamSettings } from './cluster-options';
 import { leaderIndex, type ControllerStatus } from './faults';
+import { jobParameters } from './job-parameters';
 import { VirtualCluster } from './virtual-cluster';
 
 const RESTART_MS = 6000;
@@ -20,16 +21,12 @@
 const SEEDS = [1, 2, 3];
 const PARTITION_PREFIX = keys.partition('');
 
-/** Number of partition records that a transaction writes. */
-function partitionWrites({ apply }: TransactionBody): number {
-  return apply.filter((change) => 'set' in change && change.set.startsWith(PARTITION_PREFIX)).length;
+function writesPartition({ apply }: TransactionBody): boolean {
+  return apply.some((change) => 'set' in change && change.set.startsWith(PARTITION_PREFIX));
 }
 
-function jobOf(team: string, runMs: number): JobParameters {
-  return {
-    ...{ team, tasks: 2, cpus: 1, priority: 'urgent', runMs, expectedS: runMs / 1000 },
-    ...{ checkpointIntervalS: 0, checkpointDurationS: 0, image: 'img-0', imageGb: 1 },
-  };
+function urgentJob(team: string, runMs: number): JobParameters {
+  return jobParameters({ team, priority: 'urgent', runMs, expectedS: runMs / 1000 });
 }
 
 /** Submits a job of each team that is to run, and one of each team that its user cancels. */
@@ -38,8 +35,8 @@
   for (const [n, { name }] of TEAMS.entries()) {
     const cancelled = TEAMS.length + n;
     cluster.time.at(SUBMITTED_AT, () => {
-      cluster.users.submitJob(n, jobOf(name, 5000));
-      cluster.users.submitJob(cancelled, jobOf(name, 300_000));
+      cluster.users.submitJob(n, urgentJob(name, 5000));
+      cluster.users.submitJob(cancelled, urgentJob(name, 300_000));
     });
     cluster.time.at(CANCELLED_AT, () => cluster.users.cancelJob(cancelled));
   }
@@ -70,7 +67,7 @@
       const cluster = new VirtualCluster(seed);
       let ended = false;
       cluster.store.onApplied = (transaction) => {
-        if (ended || partitionWrites(transaction) === 0) return;
+        if (ended || !writesPartition(transaction)) return;
         ended = true;
         cluster.crash(leaderIndex(cluster), RESTART_MS);
       };
@@ -115,7 +112,7 @@
         let teams: readonly TeamSettings[] = initialTeams;
         const cluster = new VirtualCluster(seed, { ...DEFAULT_OPTIONS, teamsInSettings: () => teams });
         const submit = (n: number, team: string): void =>
-          cluster.users.submitJob(n, jobOf(team, LONG_RUN_MS));
+          cluster.users.submitJob(n, urgentJob(team, LONG_RUN_MS));
         for (const [n, team] of initialTeams.entries())
           cluster.time.at(SUBMITTED_AT, () => submit(n, team.name));
         await cluster.runUntil(SUBMITTED_AT + 5000);
--- a/test/cluster/rule-checker.ts
+++ b/test/cluster/rule-checker.ts
@@ -1,5 +1,6 @@
 import { type FakeWorker } from '../standin/fake-worker';
 import { CANCELLATION_DEADLINE_MS, type TeamSettings } from './cluster-options';
+import { brokenRestrictions } from './placement-restrictions';
 import { type TransactionBody } from '../standin/transaction-limits';
 import { type SubmittedJobs, type UserJob } from './submitted-jobs';
 
@@ -69,17 +70,9 @@
     job: UserJob,
     executed: readonly ExecutedTask[],
   ): void {
-    if (!job.spot && worker.spot) this.recordViolation(`wrong_place: ${taskId} on a spot machine`);
-    if (job.zone !== null && worker.zone !== job.zone)
-      this.recordViolation(`wrong_place: ${taskId} out of its zone`);
-    if (job.machineTypes !== null && !job.machineTypes.includes(worker.type))
-      this.recordViolation(`wrong_place: ${taskId} on a machine of type ${worker.type}`);
     const zones = executed.filter((task) => task.job === job).map((task) => task.worker.zone);
-    const inThisZone = zones.filter((zone) => zone === worker.zone).length;
-    if (job.spreadZones && inThisZone > Math.ceil(job.tasks / 2))
-      this.recordViolation(`wrong_place: ${inThisZone} tasks of ${job.ref} in one zone`);
-    if (job.singleZone && new Set(zones).size > 1)
-      this.recordViolation(`wrong_place: ${taskId} outside the zone of its job`);
+    for (const broken of brokenRestrictions(job, worker, zones))
+      this.recordViolation(`wrong_place: ${taskId} ${broken}`);
   }
 
   /** The tasks that machines execute now, with their jobs. */
--- a/test/cluster/waiting-checker.ts
+++ b/test/cluster/waiting-checker.ts
@@ -1,6 +1,7 @@
 import { type FakeCloud } from '../standin/fake-cloud';
 import { type FakeWorker } from '../standin/fake-worker';
 import { type TeamSettings } from './cluster-options';
+import { brokenRestrictions } from './placement-restrictions';
 import { type SubmittedJobs, type UserJob } from './submitted-jobs';
 
 /** Once all faults are over, no task may wait for this long without a break while a machine has room for it. */
@@ -24,8 +25,8 @@
 interface Occupation {
   machines: MachineUse[];
   cpusByTeam: Map<string, number>;
-  /** Number of the tasks of each job in each zone. */
-  zonesByJob: Map<UserJob, Map<string, number>>;
+  /** The zone of each task on a machine, by job. */
+  zonesByJob: Map<UserJob, string[]>;
   /** The tasks that are on some machine and have not exited. */
   taskIds: Set<string>;
 }
@@ -71,7 +72,7 @@
     if (!waits) return undefined;
     const limit = this.dependencies.teams.find(({ name }) => name === job.team)?.cpus_max ?? 0;
     if ((occupation.cpusByTeam.get(job.team) ?? 0) + job.cpus > limit) return undefined;
-    const zones = occupation.zonesByJob.get(job) ?? new Map<string, number>();
+    const zones = occupation.zonesByJob.get(job) ?? [];
     return occupation.machines.find((machine) => fits(job, machine, zones));
   }
 
@@ -99,10 +100,8 @@
       taskIds.add(taskId);
       use.freeCpus -= job.cpus;
       use.freeMemoryGb -= job.memoryGb;
-      increase(cpusByTeam, job.team, job.cpus);
-      const zones = zonesByJob.get(job) ?? new Map<string, number>();
-      zonesByJob.set(job, zones);
-      increase(zones, worker.zone, 1);
+      cpusByTeam.set(job.team, (cpusByTeam.get(job.team) ?? 0) + job.cpus);
+      zonesByJob.set(job, [...(zonesByJob.get(job) ?? []), worker.zone]);
     }
     return use;
   }
@@ -112,20 +111,12 @@
   return up && !hung && !heartbeatsLost && !responsesLost && !failsAllTasks;
 }
 
-/** Whether a machine has room for one more task of a job that has these numbers of tasks in each zone. */
+/** Whether a machine has room for one more task of a job whose tasks are in these zones. */
 function fits(
   job: UserJob,
   { worker, freeCpus, freeMemoryGb }: MachineUse,
-  zones: ReadonlyMap<string, number>,
+  zones: readonly string[],
 ): boolean {
   if (freeCpus < job.cpus || freeMemoryGb < job.memoryGb) return false;
-  if (worker.spot && !job.spot) return false;
-  if (job.zone !== null && job.zone !== worker.zone) return false;
-  if (job.machineTypes !== null && !job.machineTypes.includes(worker.type)) return false;
-  if (job.singleZone && [...zones.keys()].some((zone) => zone !== worker.zone)) return false;
-  return !job.spreadZones || (zones.get(worker.zone) ?? 0) + 1 <= Math.ceil(job.tasks / 2);
-}
-
-function increase<Key>(sums: Map<Key, number>, key: Key, amount: number): void {
-  sums.set(key, (sums.get(key) ?? 0) + amount);
+  return brokenRestrictions(job, worker, [...zones, worker.zone]).length === 0;
 }
