review/6: a job that failed three times on a machine is never started there again

A machine fails every task for a while and recovers. A job that failed on it three times avoids it for ever, and the leader plans no other machine for it.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
