--- a/review/standin-2/cluster.mjs
+++ b/review/standin-2/cluster.mjs
@@ -89,12 +89,21 @@
   });
 }
 
+/** Free ports below those from which the system takes the ports of outgoing connections. */
 async function freePorts(count) {
-  const servers = Array.from({ length: count }, () => net.createServer().listen(0, '127.0.0.1'));
-  await Promise.all(servers.map((s) => new Promise((r) => s.once('listening', r))));
-  const ports = servers.map((s) => s.address().port);
-  await Promise.all(servers.map((s) => new Promise((r) => s.close(r))));
-  return ports;
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = 12_000 + Math.floor(Math.random() * 18_000);
+    const server = net.createServer();
+    const free = await new Promise((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => resolve(true));
+    });
+    if (!free) continue;
+    await new Promise((resolve) => server.close(resolve));
+    ports.add(port);
+  }
+  return [...ports];
 }
 
 class Bucket {
