Start no more tasks on a machine than its worker can report

What callers saw: a job of 4,000 tiny tasks was never done, nor was any other job on the same machine. One answer to the worker had a line of 138,281 bytes.

Cause: tasks were placed by CPUs, memory and quota only. A worker lists every task in its heartbeat, exited ones included, and a request may have 64 KiB at most. With 2,403 tasks the heartbeats had 145,624 to 191,282 bytes, every controller answered 400, the lease expired with all tasks, and the same began anew. Nor were the commands of an answer counted.

Change: message-limits.ts computes the most bytes that a task can take in a heartbeat and that a command takes in an answer. ReportRoom adds them up for the tasks in flight on a machine and for exits that its worker may not forget yet; CommandList for the commands of one answer. Placement, the reserved starts of load balancing and the plan of placements respect both. Stops and exits to be forgotten that find no room follow in the next answer. The simulated network refuses heartbeats above 64 KiB and records larger messages as violations, in every simulation. A request body that is refused for its size is logged.

Why it works: a task takes the room of its longest form from its start until the worker may forget it, so no change of state can make a heartbeat too large. An owner counts what a worker lists, whoever started it. The leader's count is never above the owner's, so it sees no room where the owner has none.

--- a/src/coordination/balancing/task-moves.ts
+++ b/src/coordination/balancing/task-moves.ts
@@ -9,7 +9,7 @@
 } from '@heathbridge/load-balancer';
 import { WorkPacer } from '../../transport/work-pacer';
 import { PRIORITIES, type JobSpec } from '../../protocol/jobs';
-import { type Command } from '../../protocol/workers';
+import { type CommandList } from '../partition/command-list';
 import { type MachineState } from '../partition/machine';
 import { taskKey } from '../partition/in-flight-task';
 import { type PartitionCore } from '../partition/partition-core';
@@ -87,7 +87,7 @@
     this.balancer.tracker.machineUnavailable(id, now);
   }
 
-  startReservedTasks(machine: MachineState, commands: Command[], now: number): void {
+  startReservedTasks(machine: MachineState, commands: CommandList, now: number): void {
     const { tracker } = this.balancer;
     if (tracker.isIdle) return;
     this.handleReportedTasks(machine, now);
@@ -105,7 +105,7 @@
     }
   }
 
-  private startAtTarget(task: TaskId, machine: MachineState, commands: Command[], now: number): void {
+  private startAtTarget(task: TaskId, machine: MachineState, commands: CommandList, now: number): void {
     const { core, executor } = this;
     const job = core.jobs.get(task.job);
     // Released first, so that the start can use the reserved resources and the held share of the team's limit.
@@ -119,7 +119,7 @@
   private startInReservation(
     reservation: JobReservation,
     machine: MachineState,
-    commands: Command[],
+    commands: CommandList,
     now: number,
   ): void {
     const { core, executor } = this;
--- a/src/coordination/controller/api-server.ts
+++ b/src/coordination/controller/api-server.ts
@@ -7,13 +7,13 @@
 import { type Log } from '../../transport/log';
 import { ProcessHealth } from '../../transport/process-health';
 import { listenForPeers, PeerLink } from '../../transport/peer-link';
+import { MAX_BODY_BYTES } from '../../protocol/message-limits';
 import { type Policy } from '../../protocol/policy';
 import { type Settings } from '../../protocol/settings';
 import { type LoadBalancing } from '../balancing/balancing';
 import { Controller } from './controller';
 import type { ApiDependencies } from '../requests/express-app';
 import { plainRoutes } from '../requests/plain-routes';
-import { MAX_BODY_BYTES } from '../requests/heartbeat-gateway';
 
 const STORE_CONNECTION_COUNT = 12;
 const WATCH_CONNECTION_COUNT = 2;
--- a/src/coordination/fleet/capacity-plan.ts
+++ b/src/coordination/fleet/capacity-plan.ts
@@ -1,5 +1,6 @@
 import { type MachineType } from '../../protocol/cloud';
 import { DRAIN_TO_CLOUD, type MachineLoad, type PartitionLoad } from '../../protocol/peers';
+import { MAX_TASKS_PER_MACHINE } from '../../protocol/message-limits';
 import { kindKey } from '../partition/placement';
 import { fullCapacity } from './demand-matching';
 import { type FleetAction, type FleetMachine, type FleetSnapshot } from './fleet-snapshot';
@@ -123,7 +124,8 @@
       const machineLoad = this.loadOf.get(id);
       if (!type || !machineLoad || unavailable.has(id) || isUnavailable(machineLoad)) continue;
       const { freeCpus: cpus, freeAccelerators: accelerators, freeMemoryGb: memoryGb } = machineLoad;
-      machines.push({ id, free: { cpus, accelerators, memoryGb }, type, zone, spot });
+      const freeTaskSlots = Math.max(0, MAX_TASKS_PER_MACHINE - machineLoad.tasks);
+      machines.push({ id, free: { cpus, accelerators, memoryGb }, freeTaskSlots, type, zone, spot });
     }
     return machines;
   }
@@ -149,6 +151,7 @@
     id,
     partition,
     free: fullCapacity(type),
+    freeTaskSlots: MAX_TASKS_PER_MACHINE,
     type,
     zone,
     spot,
--- a/src/coordination/fleet/planned-partition.ts
+++ b/src/coordination/fleet/planned-partition.ts
@@ -8,6 +8,8 @@
   /** Empty while the machine is being provisioned and has no name yet. */
   id: string;
   free: Resources;
+  /** How many further tasks the plan may place on the machine, whose worker must be able to report them all. */
+  freeTaskSlots: number;
   type: MachineType;
   zone: string;
   spot: boolean;
@@ -52,10 +54,17 @@
   while (pending.scannedMachines < machines.length && pending.tasks > 0) {
     const machine = machines[pending.scannedMachines++] as MachineCapacity;
     if (!canRun(pending.demand, machine)) continue;
-    pending.tasks -= takeResources(machine.free, pending.demand, pending.tasks);
+    takeRoom(machine, pending);
   }
 }
 
+/** Places as many tasks of a demand on a machine as it has room for. */
+export function takeRoom(machine: MachineCapacity, pending: PendingDemand): void {
+  const count = takeResources(machine.free, pending.demand, Math.min(pending.tasks, machine.freeTaskSlots));
+  machine.freeTaskSlots -= count;
+  pending.tasks -= count;
+}
+
 /** CPUs of the machines that a partition has in use or that the plan has added to it. */
 export function totalCpus({ machines }: PlannedPartition): number {
   return machines.reduce((sum, { type }) => sum + type.cpus, 0);
--- a/src/coordination/fleet/scale-out.ts
+++ b/src/coordination/fleet/scale-out.ts
@@ -1,12 +1,14 @@
 import { type ProvisionRequest, type MachineType } from '../../protocol/cloud';
 import { PRIORITIES } from '../../protocol/jobs';
+import { MAX_TASKS_PER_MACHINE } from '../../protocol/message-limits';
 import { type Demand } from '../../protocol/peers';
 import { kindKey } from '../partition/placement';
-import { countFitting, takeResources } from '../partition/resources';
+import { countFitting } from '../partition/resources';
 import { type CapacityPlan, type EmptyMachine } from './capacity-plan';
 import { allowsMachineKind, canRun, fullCapacity } from './demand-matching';
 import {
   placeOnMachines,
+  takeRoom,
   type MachineCapacity,
   type PendingDemand,
   type PlannedPartition,
@@ -138,8 +140,13 @@
   return Math.max(cpus, MIN_COUNTED_TASK_CPUS);
 }
 
+/** The CPUs that tasks of a demand could use if the partition's machines ran nothing else. */
 function cpusSuitableFor(demand: Demand, { machines }: PlannedPartition): number {
-  return machines.reduce((sum, machine) => sum + (canRun(demand, machine) ? machine.type.cpus : 0), 0);
+  const maxCpusPerMachine = MAX_TASKS_PER_MACHINE * demand.cpus;
+  return machines.reduce(
+    (sum, machine) => sum + (canRun(demand, machine) ? Math.min(machine.type.cpus, maxCpusPerMachine) : 0),
+    0,
+  );
 }
 
 /** Whether a demand waits for spot machines, by the policy of its class. Under 'balanced', the lowest priority always waits. */
@@ -153,11 +160,12 @@
 function addMachine(
   partition: PlannedPartition,
   pending: PendingDemand,
-  { id, type, zone, spot }: Omit<MachineCapacity, 'free'>,
+  { id, type, zone, spot }: Omit<MachineCapacity, 'free' | 'freeTaskSlots'>,
 ): void {
-  const free = fullCapacity(type);
-  pending.tasks -= takeResources(free, pending.demand, pending.tasks);
-  partition.machines.push({ id, free, type, zone, spot });
+  const freeTaskSlots = MAX_TASKS_PER_MACHINE;
+  const machine = { id, free: fullCapacity(type), freeTaskSlots, type, zone, spot };
+  takeRoom(machine, pending);
+  partition.machines.push(machine);
 }
 
 /** A request for the kind of machine that costs least for the missing CPUs; null if the cloud has no suitable kind. */
--- a/src/coordination/partition/heartbeat-handler.ts
+++ b/src/coordination/partition/heartbeat-handler.ts
@@ -81,7 +81,7 @@
     const commands = machine.takeCommands(this.isForgettable, now);
     observerHolder.observer?.startReservedTasks(machine, commands, now);
     placement.placeTasks(machine, commands, now);
-    return commands;
+    return commands.commands;
   }
 
   /**
--- a/src/coordination/partition/job.ts
+++ b/src/coordination/partition/job.ts
@@ -1,4 +1,5 @@
 import { type JobSpec } from '../../protocol/jobs';
+import { maxReportedTaskBytes, maxStartBytes } from '../../protocol/message-limits';
 import { decodeRanges, encodeRanges } from '../../protocol/task-ranges';
 import { INITIAL_START_WATERMARK, type JobProgress, type JobState } from '../../protocol/records';
 import { type MachineState } from './machine';
@@ -75,6 +76,10 @@
   private readonly initialWatermark: number;
   /** Equal for jobs whose tasks need the same resources and may run on the same machines, zones of other tasks aside. */
   readonly requirementsKey: string;
+  /** The most bytes that a task of the job can take in a heartbeat of its worker. */
+  readonly reportedTaskBytes: number;
+  /** The most bytes that the command to start a task of the job can take. */
+  readonly startBytes: number;
   /** No pending task has a smaller index. */
   private firstPending = 0;
   /** Priority used in scheduling: the job's own, raised by its deadlines and waiting time. */
@@ -99,6 +104,8 @@
     this.initialWatermark = Math.min(spec.tasks, this.runsAtMostOnce ? 0 : INITIAL_START_WATERMARK);
     this.startWatermark = progress?.startWatermark ?? this.initialWatermark;
     this.requirementsKey = requirementsKey(spec);
+    this.reportedTaskBytes = maxReportedTaskBytes(spec.ref, spec.tasks - 1);
+    this.startBytes = maxStartBytes(spec.ref, spec.tasks - 1);
     // If the tasks must share or spread over zones, none is placed while one may be on an unconfirmed machine in any zone.
     this.unconfirmedBelow = unconfirmed ? (this.isZoneBound ? spec.tasks : this.startWatermark) : 0;
     for (let i = 0; i < this.unconfirmedBelow; i++) if (this.isPending(i)) this.unconfirmedCount++;
--- a/src/coordination/partition/machine.ts
+++ b/src/coordination/partition/machine.ts
@@ -2,9 +2,11 @@
 import { type JobSpec } from '../../protocol/jobs';
 import { type MachineRecord } from '../../protocol/records';
 import { type Command, type Heartbeat, type HeartbeatTask } from '../../protocol/workers';
+import { CommandList } from './command-list';
 import { taskKey, type InFlightTask, type LostTask, type TaskExit } from './in-flight-task';
 import { MachineUsage } from './machine-usage';
 import { kindKey } from './placement';
+import { ReportRoom } from './report-room';
 import { type Resources } from './resources';
 
 /** The changes that a heartbeat has revealed. */
@@ -48,6 +50,7 @@
   confirmed: boolean;
   private readonly tasksByKey = new Map<string, InFlightTask>();
   private readonly usage = new MachineUsage();
+  private readonly reportRoom = new ReportRoom();
   /** Exits in the last heartbeat that the worker was not told to forget yet. */
   private readonly exitedAttempts = new Map<string, TaskExit>();
   /** Images of the tasks that were started or adopted on the machine, which is assumed to have or to be fetching them. */
@@ -117,6 +120,7 @@
     this.removeTask(task);
     this.tasksByKey.set(taskKey(task.ref, task.index), task);
     this.usage.addTask(task.spec);
+    this.reportRoom.add(task);
   }
 
   private removeTask(task: InFlightTask): void {
@@ -125,6 +129,12 @@
     if (!known) return;
     this.tasksByKey.delete(key);
     this.usage.removeTask(known.spec);
+    this.reportRoom.remove(known);
+  }
+
+  /** Bytes that the tasks started next may take in the worker's heartbeats. Negative if the tasks on the machine take too many. */
+  get freeReportBytes(): number {
+    return this.reportRoom.freeBytes;
   }
 
   /**
@@ -222,7 +232,7 @@
     this.preemptionDeadline =
       heartbeat.preemptionNoticeS === null ? null : now + heartbeat.preemptionNoticeS * 1000;
     this.applyToken(heartbeat, partitionEpoch, now, leaseMs);
-    this.exitedAttempts.clear();
+    this.clearExits();
     // Exits come first: an attempt refused as `busy` is reported together with the live attempt because of which it was refused.
     for (const task of heartbeat.tasks) if (task.phase === 'exited') this.applyExit(task, outcome);
     const liveKeys = this.applyLiveTasks(heartbeat, outcome, now);
@@ -259,11 +269,21 @@
     const known = this.tasksByKey.get(key);
     const inFlight = known?.attempt === attempt ? known : null;
     const exit: TaskExit = { ref, index, attempt, reason: task.exit ?? 'other', inFlight };
-    this.exitedAttempts.set(`${key}#${attempt}`, exit);
+    this.addExit(`${key}#${attempt}`, exit);
     if (inFlight) this.removeTask(inFlight);
     outcome.exits.push(exit);
   }
 
+  private addExit(key: string, exit: TaskExit): void {
+    if (!this.exitedAttempts.has(key)) this.reportRoom.add(exit);
+    this.exitedAttempts.set(key, exit);
+  }
+
+  private clearExits(): void {
+    for (const exit of this.exitedAttempts.values()) this.reportRoom.remove(exit);
+    this.exitedAttempts.clear();
+  }
+
   /** Updates the tasks in flight that are live. Returns the keys of all live tasks. */
   private applyLiveTasks(heartbeat: Heartbeat, outcome: HeartbeatOutcome, now: number): Set<string> {
     const liveKeys = new Set<string>();
@@ -300,18 +320,22 @@
     outcome.lost.push({ task, release });
   }
 
-  /** Returns the commands of the answer to the last heartbeat that precede any starts. The answer renews the worker's lease. */
-  takeCommands(isForgettable: (exit: TaskExit) => boolean, now: number): Command[] {
-    const commands: Command[] = [];
+  /**
+   * Returns the commands of the answer to the last heartbeat that precede any starts; those that find no room in it follow in later
+   * answers. The answer renews the worker's lease.
+   */
+  takeCommands(isForgettable: (exit: TaskExit) => boolean, now: number): CommandList {
+    const commands = new CommandList();
     for (const [key, exit] of this.exitedAttempts) {
-      if (!isForgettable(exit)) continue;
-      commands.push({ op: 'forget', ref: exit.ref, index: exit.index, attempt: exit.attempt });
+      const { ref, index, attempt } = exit;
+      if (!isForgettable(exit) || !commands.add({ op: 'forget', ref, index, attempt })) continue;
       this.exitedAttempts.delete(key);
+      this.reportRoom.remove(exit);
     }
     for (const { ref, index, attempt, stop, checkpointing } of this.tasksByKey.values()) {
       // A second stop would cut the checkpoint short. Only a stop without a grace period is meant to do that.
       if (!stop || (checkpointing && stop.graceS > 0)) continue;
-      commands.push({ op: 'stop', ref, index, attempt, gracePeriodS: stop.graceS });
+      commands.add({ op: 'stop', ref, index, attempt, gracePeriodS: stop.graceS });
     }
     // The worker's lease starts when it sent the heartbeat, so counting from the answer, which is later, is on the safe side.
     this.leaseRenewedAt = now;
--- a/src/coordination/partition/placement-plan.ts
+++ b/src/coordination/partition/placement-plan.ts
@@ -2,6 +2,7 @@
 import { type MachineState } from './machine';
 import { avoidsMachine } from './machine-failures';
 import { allowsMachine, remainingInZone } from './placement';
+import { countReportable } from './report-room';
 import { countFitting, takeResources, type Resources } from './resources';
 
 /**
@@ -15,12 +16,15 @@
   machine: MachineState;
   capacity: Resources;
   free: Resources;
+  /** Bytes that further tasks may take in the heartbeats of the machine's worker. */
+  freeReportBytes: number;
 }
 
 /** The room on a machine of this capacity; null if there is none, or if the capacity or a task on the machine is unknown. */
 export function roomOn(machine: MachineState, capacity: Resources | null): MachineRoom | null {
   const free = capacity && machine.free(capacity);
-  return capacity && free && free.cpus > 0 ? { machine, capacity, free } : null;
+  if (!capacity || !free || free.cpus <= 0) return null;
+  return { machine, capacity, free, freeReportBytes: machine.freeReportBytes };
 }
 
 interface PlannedMachine {
@@ -111,14 +115,21 @@
   }
 
   private placeOn(planned: PlannedMachine, job: PartitionJob, count: number): number {
-    const { machine, free } = planned.room;
-    const { spec } = job;
+    const { room } = planned;
+    const { machine } = room;
+    const { spec, reportedTaskBytes } = job;
     // The plan is used until the next one, and machines may be drained or cordoned meanwhile.
     if (planned.kind.awaited || machine.transferTarget !== null || machine.cordoned) return 0;
     if (!allowsMachine(spec, machine.record) || avoidsMachine(job, machine)) return 0;
     const { zone } = machine.record;
-    const taken = takeResources(free, spec, Math.min(count, this.remainingInZone(job, zone)));
+    const reportable = countReportable(room.freeReportBytes, reportedTaskBytes);
+    const taken = takeResources(
+      room.free,
+      spec,
+      Math.min(count, reportable, this.remainingInZone(job, zone)),
+    );
     if (taken === 0) return 0;
+    room.freeReportBytes -= taken * reportedTaskBytes;
     planned.used = true;
     const zones = this.zonesOf(job);
     zones?.set(zone, (zones.get(zone) ?? 0) + taken);
--- /dev/null
+++ b/src/coordination/partition/report-room.ts
@@ -0,0 +1,29 @@
+import { MAX_REPORTED_TASKS_BYTES, maxReportedTaskBytes } from '../../protocol/message-limits';
+
+/**
+ * The room that is left in the heartbeats of a worker. A worker reports every task on its machine, exited ones included until it may
+ * forget them, in one request of limited size. If more tasks were started on the machine than such a request can hold, no controller
+ * would accept its heartbeats, and its lease would expire with all tasks. Each task counts with the most bytes that it can ever take.
+ */
+export class ReportRoom {
+  private usedBytes = 0;
+
+  /** Bytes that further tasks may take. Negative if an earlier owner started more tasks than this one would. */
+  get freeBytes(): number {
+    return MAX_REPORTED_TASKS_BYTES - this.usedBytes;
+  }
+
+  add({ ref, index }: { ref: string; index: number }): void {
+    this.usedBytes += maxReportedTaskBytes(ref, index);
+  }
+
+  /** Removes a task that was added. */
+  remove({ ref, index }: { ref: string; index: number }): void {
+    this.usedBytes -= maxReportedTaskBytes(ref, index);
+  }
+}
+
+/** Number of tasks, each of at most this size in a heartbeat, that fit into the free bytes of one. */
+export function countReportable(freeBytes: number, reportedTaskBytes: number): number {
+  return Math.max(0, Math.floor(freeBytes / reportedTaskBytes));
+}
--- a/src/coordination/partition/task-observer.ts
+++ b/src/coordination/partition/task-observer.ts
@@ -1,5 +1,5 @@
 import { type JobSpec } from '../../protocol/jobs';
-import { type Command } from '../../protocol/workers';
+import { type CommandList } from './command-list';
 import { type MachineState } from './machine';
 import { type PlacementSpreader } from './task-placement';
 
@@ -26,7 +26,7 @@
    * Starts the tasks for which resources are reserved on a machine whose heartbeat is being answered, and adds the start commands.
    * Called before any other task is placed on the machine.
    */
-  startReservedTasks(machine: MachineState, commands: Command[], now: number): void;
+  startReservedTasks(machine: MachineState, commands: CommandList, now: number): void;
   /** Called at the end of each tick of the partition. */
   tick(now: number): void;
 }
--- a/src/coordination/partition/task-placement.ts
+++ b/src/coordination/partition/task-placement.ts
@@ -1,11 +1,12 @@
 import { type JobSpec } from '../../protocol/jobs';
-import { type Command } from '../../protocol/workers';
+import { type CommandList } from './command-list';
 import { type PartitionJob } from './job';
 import { taskKey, type InFlightTask } from './in-flight-task';
 import { type MachineState } from './machine';
 import { avoidsMachine, isQuarantined } from './machine-failures';
 import { allowsMachine, remainingInZone } from './placement';
 import { PlacementPlan, roomOn, type MachineRoom } from './placement-plan';
+import { countReportable } from './report-room';
 import {
   countFitting,
   countWithinQuota,
@@ -151,29 +152,29 @@
     job: PartitionJob,
     index: number,
     machine: MachineState,
-    commands: Command[],
+    commands: CommandList,
     now: number,
   ): boolean {
     const free = this.context.freeOn(machine);
     if (!free || this.context.unconfirmedCount > 0 || !this.acceptsTasks(machine, now)) return false;
     if (job.heldByPipeline || !job.isPending(index) || index >= job.startWatermark) return false;
-    if (machine.tasks.has(taskKey(job.ref, index)) || this.maxStarts(job, machine, free, now) === 0)
+    if (machine.tasks.has(taskKey(job.ref, index)) || this.maxStarts(job, machine, free, commands, now) === 0)
       return false;
-    commands.push(this.startTask(job, index, machine, now));
+    this.startTask(job, index, machine, commands, now);
     return true;
   }
 
   /** Starts the next task of a job on a machine. Returns false if none can be started there now. */
-  startNext(job: PartitionJob, machine: MachineState, commands: Command[], now: number): boolean {
+  startNext(job: PartitionJob, machine: MachineState, commands: CommandList, now: number): boolean {
     const free = this.context.freeOn(machine);
     const allConfirmed = this.context.unconfirmedCount === 0;
-    if (!free || !this.acceptsTasks(machine, now) || this.maxStarts(job, machine, free, now) === 0)
+    if (!free || !this.acceptsTasks(machine, now) || this.maxStarts(job, machine, free, commands, now) === 0)
       return false;
     const index = job
       .startableTasks(machine.tasks.size + 1, allConfirmed, now)
       .find((i) => !machine.tasks.has(taskKey(job.ref, i)));
     if (index === undefined) return false;
-    commands.push(this.startTask(job, index, machine, now));
+    this.startTask(job, index, machine, commands, now);
     return true;
   }
 
@@ -183,7 +184,7 @@
    * long as running a task. It excludes jobs known for `MAX_IMAGE_PRECEDENCE_MS` or longer, so that a job defers others no longer
    * than that. The second pass considers all jobs.
    */
-  placeTasks(machine: MachineState, commands: Command[], now: number): void {
+  placeTasks(machine: MachineState, commands: CommandList, now: number): void {
     if (machine.deprioritized || !this.acceptsTasks(machine, now)) return;
     const free = this.context.freeOn(machine);
     if (!free || free.cpus <= 0) return;
@@ -203,7 +204,7 @@
     jobs: readonly PartitionJob[],
     machine: MachineState,
     free: Resources,
-    commands: Command[],
+    commands: CommandList,
     now: number,
   ): void {
     const allConfirmed = this.context.unconfirmedCount === 0;
@@ -220,14 +221,17 @@
     job: PartitionJob,
     machine: MachineState,
     free: Resources,
-    commands: Command[],
+    commands: CommandList,
     now: number,
   ): void {
-    const n = Math.min(this.maxStarts(job, machine, free, now), this.maxSpreadStarts(job, machine, free));
+    const n = Math.min(
+      this.maxStarts(job, machine, free, commands, now),
+      this.maxSpreadStarts(job, machine, free),
+    );
     if (n <= 0) return;
     for (const index of job.startableTasks(n, this.context.unconfirmedCount === 0, now)) {
       if (machine.tasks.has(taskKey(job.ref, index))) continue;
-      commands.push(this.startTask(job, index, machine, now));
+      this.startTask(job, index, machine, commands, now);
       subtractResources(free, job.spec);
     }
   }
@@ -243,8 +247,16 @@
     return cpus <= 0 ? 0 : Math.max(1, Math.floor(cpus / Math.max(spec.cpus, MIN_TASK_CPUS)));
   }
 
-  /** Number of tasks of a job that may be started on a machine with these free resources. */
-  private maxStarts(job: PartitionJob, machine: MachineState, free: Resources, now: number): number {
+  /**
+   * Number of tasks of a job that may be started on a machine with these free resources, in an answer that already has these commands.
+   */
+  private maxStarts(
+    job: PartitionJob,
+    machine: MachineState,
+    free: Resources,
+    commands: CommandList,
+    now: number,
+  ): number {
     const { spec } = job;
     const fitting = countFitting(free, spec);
     if (fitting === 0 || job.state !== 'open' || !allowsMachine(spec, machine.record)) return 0;
@@ -256,21 +268,29 @@
       job.startableCount(this.context.unconfirmedCount === 0),
       job.maxNewStarts(now),
       allowedByQuota,
+      countReportable(machine.freeReportBytes, job.reportedTaskBytes),
+      commands.countFitting(job.startBytes),
     );
     if (n === 0 || !job.isZoneBound) return n;
     return Math.min(n, remainingInZone(spec, machine.record.zone, this.inFlightByZone(job)));
   }
 
-  private startTask(job: PartitionJob, index: number, machine: MachineState, now: number): Command {
+  /** Starts a task on a machine; `maxStarts` must have allowed it. */
+  private startTask(
+    job: PartitionJob,
+    index: number,
+    machine: MachineState,
+    commands: CommandList,
+    now: number,
+  ): void {
     const { spec } = job;
     const attempt = this.context.epoch * ATTEMPTS_PER_EPOCH + ++this.attemptCount;
-    const command = machine.startTask(spec, index, attempt, now);
+    commands.add(machine.startTask(spec, index, attempt, now));
     machine.images.add(spec.image);
     machine.idleSince = now;
     job.markInFlight(index, machine);
     this.context.quota.addUsage(spec, 1);
     this.context.counters.started++;
-    return command;
   }
 
   /** Number of tasks of a job in each zone. */
--- a/src/coordination/requests/express-app.ts
+++ b/src/coordination/requests/express-app.ts
@@ -1,13 +1,9 @@
 import express, { type NextFunction, type Request, type Response } from 'express';
 import { API_PATHS } from '../../protocol/api-paths';
 import { JOB_REF_PATTERN } from '../../protocol/jobs';
+import { MAX_BODY_BYTES } from '../../protocol/message-limits';
 import { logRejection, REQUEST_FAILED, JOB_NOT_FOUND, type ApiResponse } from './api-responses';
-import {
-  answerHeartbeat,
-  MAX_BODY_BYTES,
-  MALFORMED_HEARTBEAT,
-  type HeartbeatDependencies,
-} from './heartbeat-gateway';
+import { answerHeartbeat, MALFORMED_HEARTBEAT, type HeartbeatDependencies } from './heartbeat-gateway';
 import { type JobService } from './job-service';
 
 /** What the HTTP interface needs from a controller. */
@@ -57,10 +53,11 @@
   // Express recognizes an error handler by its four parameters.
   app.use((error: unknown, req: Request, res: Response, next: NextFunction) => {
     if (res.headersSent) return next(error);
-    const status = (error as { status?: number }).status;
+    const { status, length } = error as { status?: number; length?: number };
     if (typeof status === 'number' && status >= 400 && status < 500) {
       const reason = { error: String((error as Error).message).split('\n')[0] };
       const tooLarge = status === 413;
+      if (tooLarge) log.info({ path: req.path, bytes: length }, 'request body too large');
       res.status(400).json(req.path === API_PATHS.heartbeat && !tooLarge ? MALFORMED_HEARTBEAT : reason);
       return;
     }
--- a/src/coordination/requests/heartbeat-gateway.ts
+++ b/src/coordination/requests/heartbeat-gateway.ts
@@ -21,8 +21,6 @@
   log: Log;
 }
 
-/** The size of the largest request body that is read, for all requests of users and workers. */
-export const MAX_BODY_BYTES = 64 * 1024;
 export const MALFORMED_HEARTBEAT = { error: 'not a report' };
 
 /** Responds to a worker's heartbeat, given the parsed JSON of its request. */
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -62,6 +62,9 @@
   ['no_such', 'unknown'],
 ]);
 
+/** The longest form in which a heartbeat shows that a task has exited; a task that has not exited takes fewer bytes. */
+export const LONGEST_EXIT = { status: 'ended', exit_reason: 'stopped', saved: false } as const;
+
 /** Commands by their names on the wire. */
 const WIRE_ORDERS = { start: 'start', stop: 'kill', forget: 'reap' } as const;
 
@@ -174,13 +177,19 @@
 
 /** The body of the response to an accepted heartbeat. */
 export function heartbeatResponse(token: number, commands: Command[]): object {
-  return { baton: token, orders: commands.map(toWireOrder) };
+  return { baton: token, orders: commands.map(toWireCommand) };
+}
+
+/** The name of a task on the wire. */
+export function toWireTaskId(ref: string, index: number): string {
+  return `${ref}/${index}`;
 }
 
-function toWireOrder(command: Command): object {
+/** A command as the response to a heartbeat carries it. */
+export function toWireCommand(command: Command): object {
   const order = {
     order: WIRE_ORDERS[command.op],
-    piece: `${command.ref}/${command.index}`,
+    piece: toWireTaskId(command.ref, command.index),
     try: command.attempt,
   };
   return command.op === 'stop' ? { ...order, wind_down_s: command.gracePeriodS } : order;
--- a/test/cluster/directed-days.ts
+++ b/test/cluster/directed-days.ts
@@ -1,5 +1,5 @@
 /** Simulations of specified faults, against each of which some guard in the controllers protects. */
-import { TEAMS, type JobParameters } from './cluster-options';
+import { TEAMS, type JobParameters, type VirtualClusterOptions } from './cluster-options';
 import { jobParameters } from './job-parameters';
 import { VirtualCluster } from './virtual-cluster';
 import { schedule, randomOwner, refuseStoreToOwner, type Fault } from './faults';
@@ -137,3 +137,42 @@
   await cluster.runUntil(LOSS_AT + AFTER_LOSS_MS);
   return cluster;
 }
+
+const TINY_TASKS_SIMULATION_MS = 150_000;
+/** A job of thousands of tasks that all fit on one machine, by their resources. */
+const TINY_TASKS: JobParameters = {
+  team: 'north',
+  tasks: 3000,
+  cpus: 0.02,
+  priority: 'normal',
+  runMs: 6000,
+  expectedS: 6,
+  checkpointIntervalS: 0,
+  checkpointDurationS: 0,
+  image: 'tiny',
+  imageGb: 0.1,
+};
+
+/** Runs a job of thousands of tiny tasks, and a small one of another team, on a single large machine. */
+export async function runTinyTasks(
+  seed: number,
+  disturb: Fault,
+  options: Partial<VirtualClusterOptions> = {},
+): Promise<VirtualCluster> {
+  const cluster = new VirtualCluster(seed, {
+    controllers: 3,
+    maxMachines: 1,
+    teamLimitFactor: 4,
+    machineTypes: [{ label: 'large', cpus: 64, memoryGb: 16_384 }],
+    initialMachines: [{ type: 'large', count: 1 }],
+    ...options,
+  });
+  cluster.users.faultsEndAt = TINY_TASKS_SIMULATION_MS;
+  cluster.time.at(3000, () => {
+    cluster.users.submitJob(1, TINY_TASKS);
+    cluster.users.submitJob(2, { ...TINY_TASKS, team: 'south', tasks: 3, cpus: 1, image: 'other' });
+  });
+  disturb(cluster);
+  await cluster.runUntil(TINY_TASKS_SIMULATION_MS);
+  return cluster;
+}
--- a/test/cluster/removed-guards.test.ts
+++ b/test/cluster/removed-guards.test.ts
@@ -5,6 +5,7 @@
 import { Membership } from '../../src/coordination/membership/membership';
 import { PartitionCore } from '../../src/coordination/partition/partition-core';
 import { PlacementPlan, type MachineRoom } from '../../src/coordination/partition/placement-plan';
+import { ReportRoom } from '../../src/coordination/partition/report-room';
 import { takeResources } from '../../src/coordination/partition/resources';
 import { StartWatermarkPlan } from '../../src/coordination/partition/start-watermarks';
 import { LeaseExtensions } from '../../src/coordination/membership/lease-extension';
@@ -15,6 +16,7 @@
 import {
   runHangingWatch,
   runLargeMachineLoss,
+  runTinyTasks,
   runOutageAfterRefusal,
   runWithRepeatedFault,
   runZoneBoundLoss,
@@ -183,6 +185,14 @@
     expectedViolation: /left_waiting/,
     run: runLargeMachineLoss,
   },
+  {
+    name: 'a machine is given more tasks than its worker can report',
+    removeGuard: () =>
+      patchProperty(ReportRoom.prototype, 'freeBytes', { get: () => Number.MAX_SAFE_INTEGER }),
+    fault: () => undefined,
+    expectedViolation: /answer_line/,
+    run: runTinyTasks,
+  },
 ];
 
 test('removing a guard leads to the expected violation', async (t) => {
--- a/test/cluster/simulated-network.ts
+++ b/test/cluster/simulated-network.ts
@@ -1,4 +1,7 @@
+import { MAX_BODY_BYTES, MAX_LINE_BYTES } from '../../src/protocol/message-limits';
+import { jsonBytes } from '../../src/protocol/store';
 import { heartbeatResponse, parseHeartbeat, redirectResponse } from '../../src/protocol/workers';
+import { MAX_FRAME_BYTES } from '../../src/transport/peer-link';
 import type { HttpResponse } from '../../src/transport/http-client';
 import { type VirtualTime } from '../standin/clock';
 import { type FakeWorker } from '../standin/fake-worker';
@@ -33,6 +36,8 @@
   loseOneResponseIn = 0;
   /** Whether heartbeats are recorded, and copies are delivered to every controller as soon as a new one leads. */
   replayHeartbeatsToNextLeader = false;
+  /** Called with a description of each message between controllers and workers, or among controllers, that exceeds its limit. */
+  onOversized: (description: string) => void = () => undefined;
   private isolated: string | null = null;
   /** Messages that are held back because the zone is isolated, in the order in which they were sent. */
   private readonly heldBack: (() => void)[] = [];
@@ -106,6 +111,7 @@
 
   /** Sends a frame from one controller to another and delivers the reply to it. */
   sendFrame(from: ControllerProcess, toIndex: number, frame: Buffer): void {
+    if (this.exceeds(MAX_FRAME_BYTES, frame.length, `frame of controller ${from.index}`)) return;
     this.schedule(ONE_WAY_LATENCY_MS, () => {
       const peer = this.nodes[toIndex];
       const cut = this.isCutOff(from.index) || this.isCutOff(toIndex);
@@ -182,14 +188,24 @@
     if (!node.up || !node.controller) return;
     const parsed = parseHeartbeat(JSON.parse(JSON.stringify(heartbeat)));
     if (!parsed) throw new Error(`${worker.name} sent a malformed heartbeat`);
+    if (this.exceeds(MAX_BODY_BYTES, jsonBytes(heartbeat), `heartbeat of ${worker.name}`))
+      return respond({ status: 400, body: {} });
     node.controller.receiveHeartbeat(parsed, (reply) => {
-      if (reply.kind === 'answer')
-        respond({ status: 200, body: heartbeatResponse(reply.token, reply.commands) });
-      else if (reply.kind === 'redirect') respond({ status: 421, body: redirectResponse(reply.owner) });
+      if (reply.kind === 'answer') {
+        const body = heartbeatResponse(reply.token, reply.commands);
+        this.exceeds(MAX_LINE_BYTES, jsonBytes(body), `response to ${worker.name}`);
+        respond({ status: 200, body });
+      } else if (reply.kind === 'redirect') respond({ status: 421, body: redirectResponse(reply.owner) });
       else respond({ status: 503, body: {} });
     });
   }
 
+  /** Whether a message is larger than its limit, which is reported. */
+  private exceeds(maxBytes: number, bytes: number, message: string): boolean {
+    if (bytes > maxBytes) this.onOversized(`${message} has ${bytes} bytes at ${this.time.now}`);
+    return bytes > maxBytes;
+  }
+
   /** Delivers copies of the recorded heartbeats to every controller at once as soon as a new one leads. */
   replayHeartbeats(): void {
     const leader = this.nodes.findIndex(isLeading);
--- a/test/cluster/virtual-cluster.ts
+++ b/test/cluster/virtual-cluster.ts
@@ -72,6 +72,7 @@
     const { workers } = this.cloud;
     this.rules = new RuleChecker(jobs, teamSettings(options), workers, () => time.now);
     this.store.onRejected = (reason, transaction) => this.rules.transactionRejected(reason, transaction);
+    this.network.onOversized = (description) => this.rules.recordViolation(`answer_line: ${description}`);
     this.waiting = new WaitingChecker({
       jobs,
       teams: teamSettings(options),
--- a/test/fleet/autoscaler.test.ts
+++ b/test/fleet/autoscaler.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { planCapacity } from '../../src/coordination/fleet/autoscaler';
 import { type FleetSnapshot } from '../../src/coordination/fleet/fleet-snapshot';
+import { MAX_TASKS_PER_MACHINE } from '../../src/protocol/message-limits';
 import { DEFAULT_POLICY } from '../../src/protocol/policy';
 import { DRAIN_TO_CLOUD } from '../../src/protocol/peers';
 import { LARGE_TYPE, SMALL_TYPE } from '../support/machine-types';
@@ -384,6 +385,35 @@
       },
       (a) => a.some((x) => x.kind === 'transfer' && x.machine === 'i-1' && x.toPartition === 'p0'),
     ],
+    [
+      // Guards against tasks that wait for ever: the planner counted free CPUs that no task could use.
+      'a machine that has as many tasks as its worker can report has no room for tiny tasks: another one is requested',
+      {
+        loads: [
+          partitionLoad(
+            'p0',
+            [demand({ cpus: 0.001, memoryGb: 0.001, tasks: 100, expectedS: 600 })],
+            [machineLoad('i-1', { tasks: MAX_TASKS_PER_MACHINE, freeCpus: 3.5, emptyInS: 600 })],
+          ),
+        ],
+        machines: [fleetMachine('i-1')],
+      },
+      (a) => a.length === 1 && a[0]?.kind === 'scale-out',
+    ],
+    [
+      'a machine that boots counts as capacity for no more tiny tasks than its worker can report',
+      {
+        loads: [
+          partitionLoad(
+            'p0',
+            [demand({ cpus: 0.001, memoryGb: 0.001, tasks: MAX_TASKS_PER_MACHINE + 1, expectedS: 600 })],
+            [],
+          ),
+        ],
+        machines: [fleetMachine('i-1', { booting: true, ageMs: 5000 })],
+      },
+      (a) => a.length === 1 && a[0]?.kind === 'scale-out',
+    ],
   ];
   for (const [name, change, expected] of cases) {
     await t.test(name, () => {
