--- a/test/partition/partition-demands.test.ts
+++ b/test/partition/partition-demands.test.ts
@@ -4,8 +4,9 @@
 import { PartitionCore } from '../../src/coordination/partition/partition-core';
 import { type MachineType } from '../../src/protocol/cloud';
 import { decodePeerMessage, encodePeerMessage } from '../../src/protocol/peer-codec';
-import { type Demand, type PartitionLoad } from '../../src/protocol/peers';
+import { type Demand, type PartitionLoad, type PeerMessage } from '../../src/protocol/peers';
 import { type JobSpec } from '../../src/protocol/jobs';
+import { MAX_FRAME_BYTES } from '../../src/transport/peer-link';
 import { DEFAULT_POLICY } from '../../src/protocol/policy';
 import { jobSpec } from '../support/job-spec';
 import { SMALL_TYPE } from '../support/machine-types';
@@ -79,3 +80,28 @@
   const decoded: unknown = decodePeerMessage(encodePeerMessage(message));
   assert.deepEqual(JSON.parse(JSON.stringify(decoded)), JSON.parse(JSON.stringify(message)));
 });
+
+// Guards against a load that no leader receives: it was larger than a frame, so the leader closed the connection each time and planned
+// no machine for the partition.
+test('the demands of jobs that all differ fit into a frame between controllers, the first ones before others', () => {
+  const otherTypes = Array.from({ length: 1000 }, (_, i) => `type-${i}`.padEnd(30, 'x'));
+  const jobs = Array.from({ length: 150 }, (_, i) =>
+    jobSpec(`job-${i}`, { tasks: 1, cpus: 0.1 + i / 1000, machineTypes: ['small', ...otherTypes] }),
+  );
+  const load = loadOf(jobs);
+  const status: PeerMessage = {
+    kind: 'status',
+    member: 'a',
+    sequence: 1,
+    storeReachable: true,
+    memberIncarnation: 4,
+    partitions: [load],
+    misrouted: [],
+    sinceHeartbeatMs: 0,
+    revision: 1,
+  };
+  const frameBytes = encodePeerMessage(status).length;
+  assert.ok(frameBytes <= MAX_FRAME_BYTES, `${frameBytes} bytes`);
+  assert.deepEqual(load.demands[0]?.cpus, 0.1);
+  assert.ok(load.demands.length > 1);
+});
