Indent the status, so that no line of it exceeds 64 KiB

What callers saw: nothing yet. A status of 1,000 partitions and 1,000 teams without one is a single line of 253 KB.

Cause: JSON without line breaks. No response to workers or users may have a line above 64 KiB, and the status has an entry for each partition, unserved team and task move.

Evidence: the new test of api-routes.test.ts fails on the sources before.

Change: GET /status is indented. Its fields and its content type are the same.

Why it works: each value has a line of its own, and names have up to 200 characters.

--- a/src/coordination/requests/express-app.ts
+++ b/src/coordination/requests/express-app.ts
@@ -6,6 +6,9 @@
 import { answerHeartbeat, MALFORMED_HEARTBEAT, type HeartbeatDependencies } from './heartbeat-gateway';
 import { type JobService } from './job-service';
 
+/** Spaces of indentation in the response to `GET /status`. It is unlimited in length, but its lines may not be too long. */
+const STATUS_INDENT = 1;
+
 /** What the HTTP interface needs from a controller. */
 export interface ApiDependencies extends HeartbeatDependencies {
   jobService: JobService;
@@ -45,7 +48,7 @@
     res.status(dependencies.ready() ? 200 : 503).json({});
   });
   app.get(API_PATHS.status, (_req: Request, res: Response) => {
-    res.json(dependencies.status());
+    res.type('json').send(JSON.stringify(dependencies.status(), null, STATUS_INDENT));
   });
   app.use((_req: Request, res: Response) => {
     res.status(404).json({ error: 'no such path' });
--- a/test/requests/api-routes.test.ts
+++ b/test/requests/api-routes.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import { MAX_LINE_BYTES } from '../../src/protocol/message-limits';
 import { ApiFixture, HEARTBEAT, ONE_ZONE_TYPE, SUBMISSION } from '../support/api-fixture';
 
 const api = new ApiFixture();
@@ -191,3 +192,21 @@
     });
   }
 });
+
+// Guards against a line above 64 KiB in a response: GET /status has entries for each partition, each unserved team and each task move.
+test('no line of the status is too long, however many partitions and teams there are', async () => {
+  const partitions = Array.from({ length: 1000 }, (_, i) => ({
+    partition: `p${i}`,
+    machines: 1,
+    unconfirmed: 0,
+  }));
+  api.statusBody = {
+    unservedTeams: Array.from({ length: 1000 }, (_, i) => `${i}`.padEnd(200, 't')),
+    partitions,
+  };
+  const response = await fetch(`http://127.0.0.1:${api.port}/status`);
+  const text = await response.text();
+  assert.match(response.headers.get('content-type') ?? '', /^application\/json/);
+  assert.deepEqual(JSON.parse(text), api.statusBody);
+  assert.ok(Math.max(...text.split('\n').map((line) => Buffer.byteLength(line))) <= MAX_LINE_BYTES);
+});
--- a/test/support/api-fixture.ts
+++ b/test/support/api-fixture.ts
@@ -103,6 +103,8 @@
   machineTypes: MachineType[] = [ONE_ZONE_TYPE];
   /** The reply to every heartbeat. */
   heartbeatReply: HeartbeatReply = { kind: 'busy' };
+  /** The body of the response to `GET /status`. */
+  statusBody: object = {};
   port = 0;
   private readonly time = new VirtualTime();
   private readonly store = new FakeStateStore(this.time);
@@ -140,7 +142,7 @@
       log: SILENT_LOG,
       receiveHeartbeat: (_, respond) => respond(this.heartbeatReply),
       ready: () => this.machineTypes.length > 0,
-      status: () => ({}),
+      status: () => this.statusBody,
     };
   }
 
