Test that no late copy of a start command is carried out

Asked for: whether a task can run on two machines, or a cancelled one again, because a copy of a start command reaches a worker that has ended and forgotten the task. It can't here, so no product code changes. Starts go out only in answers to heartbeats. A worker takes an answer only for its heartbeat in flight, and drops it after 4 s (PROTOCOL, "Delayed messages"). What does arrive late are heartbeats, and a copy gets no start: it isn't newer than the newest one seen, or it lacks the token of the present owner.

The test with real processes checks that no controller connects to a worker.

--- a/test/cluster/loopback-balance.test.ts
+++ b/test/cluster/loopback-balance.test.ts
@@ -198,6 +198,17 @@
     this.cluster.stop();
   }
 
+  /**
+   * Start commands go out in answers to heartbeats only. A direct command may be held up on its way, and carried out after its task has
+   * moved or its job was cancelled.
+   */
+  private directCommandViolations(): string[] {
+    const { connectionsToWorkers } = this.cluster;
+    return connectionsToWorkers === 0
+      ? []
+      : [`direct_commands: ${connectionsToWorkers} connections to workers`];
+  }
+
   outcome(): Outcome {
     const startDelays = [...this.startedAt]
       .filter(([taskId]) => this.jobOfTask(taskId)?.urgency === 'urgent')
@@ -209,6 +220,7 @@
       violations: [
         ...this.violations,
         ...this.cluster.rejections.map((reason) => `rejected_transaction: ${reason}`),
+        ...this.directCommandViolations(),
       ],
       moves: [...this.moves.values()].reduce((sum, n) => sum + n, 0),
       spread: this.spreads.reduce((sum, value) => sum + value, 0) / Math.max(1, this.spreads.length),
--- a/test/cluster/rule-checker.ts
+++ b/test/cluster/rule-checker.ts
@@ -19,6 +19,7 @@
   /** The violations found, each with its kind first: `ran_twice`, `quota`, `wrong_place`, … */
   readonly violations: string[] = [];
   startedTasks = 0;
+  private readonly startedAttempts = new Set<string>();
 
   constructor(
     private readonly jobs: SubmittedJobs,
@@ -42,6 +43,7 @@
     this.startedTasks++;
     const job = this.jobs.ofTask(taskId);
     if (!job) return this.recordViolation(`unknown: ${taskId}`);
+    this.checkStartedOnce(worker, taskId);
     this.checkNotExecutedElsewhere(worker, taskId);
     const executed = this.executedTasks();
     this.checkTeamLimit(job, executed);
@@ -49,6 +51,14 @@
     this.checkCancelledJobs();
   }
 
+  /** Checks that no start command is carried out twice: controllers number every attempt to start a task differently. */
+  private checkStartedOnce(worker: FakeWorker, taskId: string): void {
+    const attempt = `${taskId} attempt ${worker.tasks.get(taskId)?.attempt}`;
+    if (this.startedAttempts.has(attempt))
+      this.recordViolation(`started_again: ${attempt} on ${worker.name} at ${this.now()}`);
+    this.startedAttempts.add(attempt);
+  }
+
   private checkNotExecutedElsewhere(worker: FakeWorker, taskId: string): void {
     for (const other of this.workers.values()) {
       if (other === worker || !other.executes(taskId)) continue;
--- a/test/cluster/simulated-network.ts
+++ b/test/cluster/simulated-network.ts
@@ -13,8 +13,7 @@
 const HEARTBEAT_TIMEOUT_MS = 4000;
 /** One request in this many takes 2 to 8 s. */
 const SLOW_REQUEST_ONE_IN = 150;
-/** One heartbeat in this many is duplicated; the copy arrives late, at any controller. */
-const DUPLICATED_HEARTBEAT_ONE_IN = 25;
+const COPIED_RESPONSE_DELAY_MS = 16_000;
 /** One message in this many that is sent into a cut is held back; the others are lost. */
 const HELD_BACK_ONE_IN = 2;
 /** At most this many recorded heartbeats, the newest ones, are replayed when a new controller leads. */
@@ -34,6 +33,15 @@
   delayOneWriteIn = 0;
   /** One write to the state store in this many is applied at once and only its response is lost; 0 if none is. */
   loseOneResponseIn = 0;
+  /** One heartbeat in this many is duplicated; the copy arrives late, at any controller. */
+  duplicateOneHeartbeatIn = 25;
+  /**
+   * One heartbeat in this many is repeated within its timeout, at any controller; 0 if none is. The worker gets the response to
+   * whichever of the two is answered first.
+   */
+  repeatOneHeartbeatIn = 0;
+  /** One response to a heartbeat in this many is handled again, late, which no worker does; 0 if none is. */
+  copyOneResponseIn = 0;
   /** Whether heartbeats are recorded, and copies are delivered to every controller as soon as a new one leads. */
   replayHeartbeatsToNextLeader = false;
   /** Called with a description of each message between controllers and workers, or among controllers, that exceeds its limit. */
@@ -141,6 +149,8 @@
       const respond = (response: HttpResponse): void => {
         if (worker.responsesLost) return;
         this.schedule(ONE_WAY_LATENCY_MS, () => (isCut() ? undefined : resolve(response)));
+        if (response.status === 200 && this.oneIn(this.copyOneResponseIn))
+          this.schedule(COPIED_RESPONSE_DELAY_MS, () => worker.receiveCopiedResponse(response.body));
       };
       const arrive = (): void =>
         this.runWhenResumed(node, () => this.receiveHeartbeat(index, worker, heartbeat, respond));
@@ -148,18 +158,28 @@
       else if (node.cutFromWorkers) this.schedule(5000 + this.random.int(15_000), arrive);
       else {
         this.schedule(ONE_WAY_LATENCY_MS, arrive);
-        this.copyHeartbeat(worker, heartbeat);
+        this.copyHeartbeat(worker, heartbeat, respond);
       }
     });
   }
 
   /**
    * Records a heartbeat if it is to be replayed. Delivers copies of some heartbeats to a random controller, 1 to 41 s late,
-   * which can be well over the duration of a lease.
+   * which can be well over the duration of a lease, and repeats others.
    */
-  private copyHeartbeat(worker: FakeWorker, heartbeat: object): void {
+  private copyHeartbeat(
+    worker: FakeWorker,
+    heartbeat: object,
+    respond: (response: HttpResponse) => void,
+  ): void {
     if (this.replayHeartbeatsToNextLeader) this.recordedHeartbeats.push({ worker, heartbeat });
-    if (!this.oneIn(DUPLICATED_HEARTBEAT_ONE_IN)) return;
+    if (this.oneIn(this.repeatOneHeartbeatIn)) {
+      const repeatTo = this.random.int(this.nodes.length);
+      this.schedule(this.random.int(HEARTBEAT_TIMEOUT_MS), () =>
+        this.receiveHeartbeat(repeatTo, worker, heartbeat, respond),
+      );
+    }
+    if (!this.oneIn(this.duplicateOneHeartbeatIn)) return;
     const duplicateTo = this.random.int(this.nodes.length);
     this.schedule(1000 + this.random.int(40_000), () =>
       this.receiveHeartbeat(duplicateTo, worker, heartbeat),
--- a/test/standin/fake-cloud.ts
+++ b/test/standin/fake-cloud.ts
@@ -1,6 +1,6 @@
 import type { HttpResponse } from '../../src/transport/http-client';
 import type { TimeSource } from './clock';
-import { FakeWorker, type FakeWorkerHooks } from './fake-worker';
+import { DEFAULT_WORKER_ADDRESS, FakeWorker, type FakeWorkerHooks } from './fake-worker';
 import { jsonResponse } from './json-response';
 
 /** Default number of machines on a page of the list. Pages are short, so that the list can change between two of them. */
@@ -171,6 +171,7 @@
 
   private machineRow(ref: string, machine: WireMachine, status: string): WireMachineRow {
     const ageMs = this.options.time.now - (this.provisionedAt.get(ref) ?? 0);
-    return { ref, address: '10.1.0.1:9000', ...machine, status, age_s: ageMs / 1000 };
+    const address = this.options.hooks.workerAddress ?? DEFAULT_WORKER_ADDRESS;
+    return { ref, address, ...machine, status, age_s: ageMs / 1000 };
   }
 }
--- a/test/standin/fake-worker.ts
+++ b/test/standin/fake-worker.ts
@@ -1,6 +1,8 @@
 import type { HttpResponse } from '../../src/transport/http-client';
 import type { TimeSource } from './clock';
 
+/** The address of workers unless a hook states another; nothing listens there. */
+export const DEFAULT_WORKER_ADDRESS = '10.1.0.1:9000';
 /** Image fetch time unless a hook returns another. */
 const DEFAULT_IMAGE_FETCH_MS = 700;
 const LOOP_INTERVAL_MS = 100;
@@ -55,6 +57,8 @@
   /** The index of the controller that a redirect names; null if it is unknown. */
   controllerIndex: (name: string) => number | null;
   controllerCount: number;
+  /** The address for direct commands that all workers state. */
+  workerAddress?: string;
   heartbeatIntervalMs: number;
   leaseMs: number;
 }
@@ -81,6 +85,8 @@
   /** Whether its heartbeats arrive but the responses to them are lost. */
   responsesLost = false;
   failsAllTasks = false;
+  /** Seconds until the cloud takes the machine back, as its heartbeats state; null without a notice. */
+  preemptionNoticeS: number | null = null;
   private agentEpoch = 1;
   private sequence = 0;
   private token = 0;
@@ -157,14 +163,14 @@
   private heartbeatBody(): object {
     return {
       velodrome: this.name,
-      address: '10.1.0.1:9000',
+      address: this.hooks.workerAddress ?? DEFAULT_WORKER_ADDRESS,
       model: this.type,
       yard: this.zone,
       loaners: this.spot,
       shift: this.agentEpoch,
       tick: ++this.sequence,
       baton: this.token,
-      recall_s: null,
+      recall_s: this.preemptionNoticeS,
       pieces: [...this.tasks].map(([taskId, { attempt, status, exitReason, saved }]) => ({
         piece: taskId,
         try: attempt,
@@ -188,6 +194,14 @@
     if (sentEpoch === this.agentEpoch) this.handleResponse(response.body, sentAt);
   }
 
+  /**
+   * Handles a late copy of a response that was handled before. No worker does that: a response counts only for the heartbeat in
+   * flight. Tests use it to show that they would notice a start command that is carried out twice.
+   */
+  receiveCopiedResponse(body: unknown): void {
+    if (this.up && !this.hung) this.handleResponse(body, this.leaseRenewedAt);
+  }
+
   /** Handles a response, unless its token is older than one seen before. */
   private handleResponse(body: unknown, sentAt: number): void {
     const { baton: token, orders } = body as { baton: number; orders: WireCommand[] };
--- a/test/standin/loopback.ts
+++ b/test/standin/loopback.ts
@@ -47,6 +47,8 @@
   readonly cloud: FakeCloud;
   /** Why the state store rejected transactions as malformed; no controller may send such a transaction. */
   readonly rejections: string[] = [];
+  /** Number of connections that were opened to the address of the workers. */
+  connectionsToWorkers = 0;
   private readonly time = new RealTime();
   private readonly store = new FakeStateStore(this.time, PAGE_SIZE, STORE_LIMITS);
   private readonly agents = new Map<string, Agent>();
@@ -65,6 +67,7 @@
       deliverHeartbeat: (index, worker, heartbeat) => this.deliverHeartbeat(index, worker, heartbeat),
       controllerIndex: (name) => Number(name.split('-')[1]),
       controllerCount: options.controllers,
+      workerAddress: `127.0.0.1:${this.workerPort}`,
       heartbeatIntervalMs: options.heartbeatIntervalMs,
       leaseMs: options.leaseMs,
     };
@@ -83,16 +86,29 @@
   }
 
   static async start(options: LoopbackOptions): Promise<LoopbackCluster> {
-    const cluster = new LoopbackCluster(options, await findFreePorts(2 + 2 * options.controllers));
+    const cluster = new LoopbackCluster(options, await findFreePorts(3 + 2 * options.controllers));
     const [storePort = 0, cloudPort = 0] = cluster.ports;
     cluster.servers.push(
       serveFake(storePort, (method, path, body) => cluster.store.request(method, path, body, () => false)),
       serveFake(cloudPort, (method, path, body) => cluster.cloud.request(method, path, body)),
+      cluster.listenAsWorkers(),
     );
     for (let i = 0; i < options.controllers; i++) cluster.startController(i);
     return cluster;
   }
 
+  private listenAsWorkers(): Server {
+    const server = createServer((socket) => {
+      this.connectionsToWorkers++;
+      socket.destroy();
+    });
+    return server.listen(this.workerPort, '127.0.0.1');
+  }
+
+  private get workerPort(): number {
+    return this.ports[this.ports.length - 1] ?? 0;
+  }
+
   /** A port of a controller: that for users and workers at offset 0, that for its peers at offset 1. */
   private port(index: number, offset: number): number {
     return this.ports[2 + 2 * index + offset] ?? 0;
