Reserve quota for unconfirmed machines whatever a late heartbeat shows

What callers saw: after a change of owner, a team used 80 CPUs of 48 for 3.5 s. One machine reached no controller, and a late copy of an old heartbeat of it was the first that the new owner got.

Cause: the bound on what unreported tasks may use was lowered by every heartbeat of an unconfirmed machine, as if it showed the machine's state. Two more conclusions did the same: a task that a late copy shows as done counted as gone, and one adopted from a late copy was forgotten if its job was closed before it proved not to be there.

Change: only the capacity of an unconfirmed machine bounds what may be on it. A task that only such a machine shows as done is neither started again nor recorded, and its job isn't called done, until the machine is confirmed with it or all machines are; it stays reserved till then. A task adopted from such a heartbeat is marked as not proven, and reserved if it is released as such.

Why it works: what counts as used or gone now follows only from a heartbeat with this owner's token, a lease that has surely ended, or a machine that is gone.

--- a/src/coordination/partition/heartbeat-handler.ts
+++ b/src/coordination/partition/heartbeat-handler.ts
@@ -72,8 +72,10 @@
   }
 
   private updateConfirmation(machine: MachineState): void {
-    if (machine.confirmed) this.deps.markConfirmed(machine.id);
-    else this.deps.unconfirmedMachines.set(machine.id, this.deps.machines.freeOn(machine));
+    const { machines, unconfirmedMachines, markConfirmed } = this.deps;
+    if (machine.confirmed) markConfirmed(machine.id);
+    // The whole capacity, because this heartbeat may be a late copy, whose tasks have made room for others since.
+    else unconfirmedMachines.set(machine.id, machines.capacityOf(machine));
   }
 
   private commandsFor(machine: MachineState, now: number): Command[] {
--- a/src/coordination/partition/job-set.ts
+++ b/src/coordination/partition/job-set.ts
@@ -90,7 +90,7 @@
     const job = jobs.get(ref);
     if (!job) return undefined;
     job.state = state;
-    if (state !== 'done') quota.reserveForCancelled(job.spec, job.unconfirmedCount);
+    if (state !== 'done') quota.reserveForCancelled(job.spec, job.unreportedCount);
     jobs.delete(ref);
     this.unwrittenTerminalStates.delete(ref);
     return job;
@@ -123,11 +123,20 @@
     if (job.runsAtMostOnce && this.pipelines.markInterrupted(job.ref)) this.applyPipeline(job.ref);
   }
 
+  /** Records that all machines are confirmed: the tasks on them are known, and no unreported attempt of any task is left. */
+  allMachinesConfirmed(): void {
+    for (const job of this.options.jobs.values()) {
+      job.proveAllDone();
+      this.markIfDone(job);
+    }
+    this.failInterruptedJobs();
+  }
+
   /**
    * Fails the jobs that run at most once and have interrupted tasks. Must be called once every machine is confirmed or its lease
    * has expired: a task that an earlier owner started and that is neither done nor in flight was then interrupted.
    */
-  failInterruptedJobs(): void {
+  private failInterruptedJobs(): void {
     for (const job of this.options.jobs.values()) this.failIfInterrupted(job);
   }
 
@@ -136,11 +145,11 @@
   }
 
   /**
-   * Marks a job done once all its tasks are done and no other attempt of a task is still being stopped. The next owner reserves no
+   * Marks a job done once all its tasks are done and no other attempt of a task can be left, also not on an unconfirmed machine. The next owner reserves no
    * quota for a job that is done, so none of its tasks may be left on a machine.
    */
   markIfDone(job: PartitionJob): void {
-    if (job.finished && job.inFlight.size === 0) this.unwrittenTerminalStates.set(job.ref, 'done');
+    if (job.certainlyOver) this.unwrittenTerminalStates.set(job.ref, 'done');
   }
 
   /**
--- a/src/coordination/partition/job.ts
+++ b/src/coordination/partition/job.ts
@@ -17,6 +17,11 @@
 enum TaskState {
   Pending,
   InFlight,
+  /**
+   * Shown as done by a heartbeat of an unconfirmed machine only, which may be a late copy: the task is not started again, but another
+   * attempt of it may still run on another unconfirmed machine.
+   */
+  UnprovenDone,
   Done,
   /** Done, and recorded in the state store. */
   Durable,
@@ -73,6 +78,7 @@
   readonly unconfirmedBelow: number;
   /** Number of pending tasks below `unconfirmedBelow`. */
   unconfirmedCount = 0;
+  private unprovenDoneCount = 0;
   private readonly initialWatermark: number;
   /** Equal for jobs whose tasks need the same resources and may run on the same machines, zones of other tasks aside. */
   readonly requirementsKey: string;
@@ -179,6 +185,16 @@
     return this.doneCount === this.taskStates.length;
   }
 
+  /** Number of tasks of which an unreported attempt may run on an unconfirmed machine. */
+  get unreportedCount(): number {
+    return this.unconfirmedCount + this.unprovenDoneCount;
+  }
+
+  /** Whether all tasks are done, and certainly no attempt of them is left on a machine. */
+  get certainlyOver(): boolean {
+    return this.finished && this.inFlight.size === 0 && this.unprovenDoneCount === 0;
+  }
+
   hasTask(index: number): boolean {
     return index < this.taskStates.length;
   }
@@ -187,8 +203,13 @@
     return this.taskStates[index] === TaskState.Pending;
   }
 
+  /** Whether the task is pending, and an earlier owner may have started it on an unconfirmed machine. */
+  isUnconfirmed(index: number): boolean {
+    return index < this.unconfirmedBelow && this.isPending(index);
+  }
+
   isDone(index: number): boolean {
-    return (this.taskStates[index] ?? TaskState.Pending) >= TaskState.Done;
+    return (this.taskStates[index] ?? TaskState.Pending) >= TaskState.UnprovenDone;
   }
 
   /** Whether the state store has recorded that the task is done. */
@@ -210,6 +231,18 @@
     if (this.doneCount === 0) this.triedMachines.add(machine.id);
   }
 
+  /** Records that no attempt of a task that is done can be left on an unconfirmed machine. Ignores any other task. */
+  proveDone(index: number): void {
+    if (this.taskStates[index] !== TaskState.UnprovenDone) return;
+    this.taskStates[index] = TaskState.Done;
+    this.unprovenDoneCount--;
+  }
+
+  /** Records that all machines are confirmed, so that no attempt of a task that is done can be left on one. */
+  proveAllDone(): void {
+    for (let i = 0; this.unprovenDoneCount > 0 && i < this.unconfirmedBelow; i++) this.proveDone(i);
+  }
+
   /** Marks a task as no longer in flight. It is pending again unless it is done. */
   requeue(index: number): void {
     this.inFlight.delete(index);
@@ -225,10 +258,15 @@
     if (index < this.unconfirmedBelow) this.unconfirmedCount--;
   }
 
-  /** Marks a task as done, whichever of its attempts succeeded. */
-  markDone(index: number): void {
+  /**
+   * Marks a task as done, whichever of its attempts succeeded. `proven`: the machine that reported it is confirmed, so that no other
+   * attempt can be left on an unconfirmed one.
+   */
+  markDone(index: number, proven: boolean): void {
+    const certain = proven || index >= this.unconfirmedBelow;
     if (this.isPending(index)) this.removeFromPending(index);
-    this.taskStates[index] = TaskState.Done;
+    this.taskStates[index] = certain ? TaskState.Done : TaskState.UnprovenDone;
+    if (!certain) this.unprovenDoneCount++;
     this.doneCount++;
     this.triedMachines.clear();
     this.retryNotBefore.delete(index);
--- a/src/coordination/partition/machine-set.ts
+++ b/src/coordination/partition/machine-set.ts
@@ -55,7 +55,7 @@
     const machine = new MachineState({ id, record, revision, confirmed, now });
     machine.cordoned = record.phase === 'deprovisioning';
     this.machines.set(id, machine);
-    if (!confirmed) this.options.unconfirmedMachines.set(id, this.freeOn(machine));
+    if (!confirmed) this.options.unconfirmedMachines.set(id, this.capacityOf(machine));
   }
 
   /**
--- a/src/coordination/partition/machine.ts
+++ b/src/coordination/partition/machine.ts
@@ -270,7 +270,10 @@
     const inFlight = known?.attempt === attempt ? known : null;
     const exit: TaskExit = { ref, index, attempt, reason: task.exit ?? 'other', inFlight };
     this.addExit(`${key}#${attempt}`, exit);
-    if (inFlight) this.removeTask(inFlight);
+    if (inFlight) {
+      inFlight.proven ||= this.confirmed;
+      this.removeTask(inFlight);
+    }
     outcome.exits.push(exit);
   }
 
@@ -292,8 +295,12 @@
       const key = taskKey(task.ref, task.index);
       liveKeys.add(key);
       const inFlight = this.tasksByKey.get(key);
-      if (inFlight) updateInFlight(inFlight, task, now);
-      else outcome.unknownTasks.push(task);
+      if (!inFlight) {
+        outcome.unknownTasks.push(task);
+        continue;
+      }
+      updateInFlight(inFlight, task, now);
+      inFlight.proven ||= this.confirmed;
     }
     return liveKeys;
   }
@@ -351,6 +358,7 @@
       attempt,
       spec,
       phase: 'sent',
+      proven: true,
       stop: null,
       checkpointing: false,
       runningSince: null,
@@ -368,6 +376,7 @@
       attempt: task.attempt,
       spec,
       phase: 'reported',
+      proven: this.confirmed,
       stop: null,
       checkpointing: task.phase === 'checkpointing',
       runningSince: task.phase === 'running' ? now : null,
--- a/src/coordination/partition/partition-core.ts
+++ b/src/coordination/partition/partition-core.ts
@@ -257,7 +257,7 @@
   private markConfirmed(id: string): void {
     if (!this.unconfirmedMachines.remove(id)) return;
     this.quota.releaseCancelled();
-    this.jobSet.failInterruptedJobs();
+    this.jobSet.allMachinesConfirmed();
   }
 
   /** Up to `count` of the machines that are not yet confirmed. */
--- a/src/coordination/partition/task-lifecycle.ts
+++ b/src/coordination/partition/task-lifecycle.ts
@@ -80,11 +80,16 @@
     const job = jobs.get(task.ref);
     const machine = job?.inFlight.get(task.index);
     // The job may have another attempt of the task in flight on another machine, where it is being stopped.
-    if (!job || machine?.tasks.has(taskKey(task.ref, task.index))) return;
-    job.requeue(task.index);
-    if (job.isPending(task.index)) this.observer?.taskRequeued(task.ref, task.index, now);
-    jobSet.markIfDone(job);
-    if (release === 'interrupted') jobSet.failIfRunsAtMostOnce(job);
+    const hasOtherAttempt = machine?.tasks.has(taskKey(task.ref, task.index)) ?? false;
+    if (job && !hasOtherAttempt) this.requeue(job, task.index, now);
+    if (task.spec && !task.proven && !job?.isUnconfirmed(task.index)) quota.reserveForUnproven(task.spec);
+    if (job && !hasOtherAttempt && release === 'interrupted') jobSet.failIfRunsAtMostOnce(job);
+  }
+
+  private requeue(job: PartitionJob, index: number, now: number): void {
+    job.requeue(index);
+    if (job.isPending(index)) this.observer?.taskRequeued(job.ref, index, now);
+    this.deps.jobSet.markIfDone(job);
   }
 
   /** Handles an exit that a worker has reported. The worker repeats the exit until it is told to forget it. */
@@ -113,14 +118,21 @@
   private handleSuccess(job: PartitionJob, machine: MachineState, exit: TaskExit, now: number): void {
     machine.failuresByJob.clear();
     machine.hadTaskSuccess = true;
-    if (job.isDone(exit.index)) return;
+    if (job.isDone(exit.index)) return this.confirmSuccess(job, machine, exit);
     if (!job.isPending(exit.index)) this.killInFlightAttempt(job, exit.index);
-    job.markDone(exit.index);
+    job.markDone(exit.index, machine.confirmed);
     this.observer?.taskDone(exit.ref, exit.index, now);
     this.deps.counters.done++;
     this.deps.jobSet.markIfDone(job);
   }
 
+  /** Handles a repeated success. Once its machine is confirmed, it is certain that no other attempt is left. */
+  private confirmSuccess(job: PartitionJob, machine: MachineState, exit: TaskExit): void {
+    if (!machine.confirmed) return;
+    job.proveDone(exit.index);
+    this.deps.jobSet.markIfDone(job);
+  }
+
   private handleFailure(job: PartitionJob, machine: MachineState, exit: TaskExit, now: number): void {
     if (exit.reason !== 'stopped') this.observer?.taskFailed(exit.ref, exit.index, now);
     if (!REFUSED_STARTS.has(exit.reason)) this.deps.jobSet.failIfRunsAtMostOnce(job);
--- a/src/coordination/partition/unconfirmed-machines.ts
+++ b/src/coordination/partition/unconfirmed-machines.ts
@@ -22,10 +22,10 @@
     return [...this.usageBounds.keys()].slice(0, count);
   }
 
-  /** Adds or updates an unconfirmed machine. `free` is null if its type, or the job of a task on it, is unknown. */
-  set(id: string, free: Resources | null): void {
+  /** Adds or updates an unconfirmed machine. `capacity` is null if its type is unknown. */
+  set(id: string, capacity: Resources | null): void {
     this.remove(id);
-    const bound = free && { cpus: Math.max(0, free.cpus), accelerators: Math.max(0, free.accelerators) };
+    const bound = capacity && { cpus: capacity.cpus, accelerators: capacity.accelerators };
     this.usageBounds.set(id, bound);
     this.addBound(bound, 1);
   }
--- a/test/cluster/controller-node.ts
+++ b/test/cluster/controller-node.ts
@@ -34,3 +34,10 @@
 export function isLeading({ up, controller }: ControllerNode): boolean {
   return up && controller !== null && (controller.status() as { leading: boolean }).leading;
 }
+
+/** The ids of the partitions that the node's controller owns. */
+export function ownedPartitions({ up, controller }: ControllerNode): string[] {
+  if (!up || controller === null) return [];
+  const { partitions } = controller.status() as { partitions: { partition: string }[] };
+  return partitions.map(({ partition }) => partition);
+}
--- a/test/cluster/directed-days.ts
+++ b/test/cluster/directed-days.ts
@@ -252,3 +252,38 @@
   await cluster.runUntil(end);
   return cluster;
 }
+
+/**
+ * A team is at its limit on a machine that reaches no controller for a little less than a lease, while the owner crashes and another job
+ * of the team arrives. Copies of older heartbeats, in which the machine is full of tasks of another team, reach every controller as
+ * the next owner begins.
+ */
+export async function runLateHeartbeatsAtTakeover(seed: number, fault: Fault): Promise<VirtualCluster> {
+  const cluster = new VirtualCluster(seed, {
+    controllers: 3,
+    maxMachines: 2,
+    teamLimitFactor: 1,
+    machineTypes: [{ label: 'large', cpus: 12, memoryGb: 48 }],
+    initialMachines: [{ type: 'large', count: 2 }],
+  });
+  const { users, network, time } = cluster;
+  users.faultsEndAt = 60_000;
+  network.replayToNextOwnerFromAgeMs = 18_000;
+  const submit = (at: number, n: number, job: Partial<JobParameters>): void => {
+    time.at(at, () => users.submitJob(n, jobParameters(job)));
+  };
+  // Keeps the machine in zone b.
+  submit(2500, 4, { team: 'north', tasks: 1, zone: 'b', runMs: 60_000 });
+  submit(3000, 1, { team: 'west', tasks: 8, zone: 'a', runMs: 4000 + cluster.randomInt(1500) });
+  submit(3500, 2, { team: 'north', tasks: 12, zone: 'a', runMs: 40_000 });
+  time.at(25_000 + cluster.randomInt(1000), () => {
+    fault(cluster);
+    const muted = [...cluster.cloud.workers.values()].find(({ zone }) => zone === 'a');
+    if (muted) muted.heartbeatsLost = true;
+    schedule(cluster, 11_000, () => muted && (muted.heartbeatsLost = false));
+    cluster.crash(ownerIndex(cluster, 'p0'), 4000);
+  });
+  submit(30_000, 3, { team: 'north', tasks: 10, zone: 'b', runMs: 15_000 });
+  await cluster.runUntil(120_000);
+  return cluster;
+}
--- a/test/cluster/faults.ts
+++ b/test/cluster/faults.ts
@@ -1,7 +1,7 @@
 /** Faults that tests inject into a virtual cluster, and the selection of the nodes that they affect. */
 import { VirtualCluster } from './virtual-cluster';
 import { type FakeWorker } from '../standin/fake-worker';
-import { type ControllerNode } from './controller-node';
+import { ownedPartitions, type ControllerNode } from './controller-node';
 
 /** The fields of a controller's status that faults and tests read. */
 export interface ControllerStatus {
@@ -34,9 +34,13 @@
   return cluster.nodes.indexOf(leaderNode(cluster));
 }
 
-/** The index of the first controller that owns a partition; 0 if none does. */
-export function ownerIndex(cluster: VirtualCluster): number {
-  return cluster.nodes.indexOf(ownerNode(cluster));
+/** The index of the first controller that owns this partition, or any if none is named; 0 if none does. */
+export function ownerIndex(cluster: VirtualCluster, partition?: string): number {
+  if (partition === undefined) return cluster.nodes.indexOf(ownerNode(cluster));
+  return Math.max(
+    0,
+    cluster.nodes.findIndex((node) => ownedPartitions(node).includes(partition)),
+  );
 }
 
 /** Runs an action after a delay in virtual milliseconds. */
--- a/test/cluster/removed-guards.test.ts
+++ b/test/cluster/removed-guards.test.ts
@@ -1,5 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import {
+  HeartbeatHandler,
+  type HeartbeatHandlerDependencies,
+} from '../../src/coordination/partition/heartbeat-handler';
 import { PartitionJob } from '../../src/coordination/partition/job';
 import { MachineState } from '../../src/coordination/partition/machine';
 import { Membership } from '../../src/coordination/membership/membership';
@@ -16,6 +20,7 @@
 import {
   runHangingWatch,
   runLargeMachineLoss,
+  runLateHeartbeatsAtTakeover,
   runTinyTasks,
   runOutageAfterRefusal,
   runWithRepeatedFault,
@@ -185,6 +190,23 @@
     expectedViolation: /left_waiting/,
     run: runLargeMachineLoss,
   },
+  {
+    name: 'an owner reserves quota only for what an unproven heartbeat shows as free',
+    removeGuard: () => {
+      const reserveFree = function (
+        this: { deps: HeartbeatHandlerDependencies },
+        machine: MachineState,
+      ): void {
+        const { machines, unconfirmedMachines, markConfirmed } = this.deps;
+        if (machine.confirmed) markConfirmed(machine.id);
+        else unconfirmedMachines.set(machine.id, machines.freeOn(machine));
+      };
+      return patchProperty(HeartbeatHandler.prototype, 'updateConfirmation', { value: reserveFree });
+    },
+    fault: () => undefined,
+    expectedViolation: /quota/,
+    run: runLateHeartbeatsAtTakeover,
+  },
   {
     name: 'a machine is given more tasks than its worker can report',
     removeGuard: () =>
--- a/test/cluster/simulated-network.ts
+++ b/test/cluster/simulated-network.ts
@@ -5,7 +5,7 @@
 import type { HttpResponse } from '../../src/transport/http-client';
 import { type VirtualTime } from '../standin/clock';
 import { type FakeWorker } from '../standin/fake-worker';
-import { isLeading, type ControllerNode } from './controller-node';
+import { isLeading, ownedPartitions, type ControllerNode } from './controller-node';
 import { type RandomSource } from './random-source';
 
 const ONE_WAY_LATENCY_MS = 2;
@@ -16,8 +16,9 @@
 const COPIED_RESPONSE_DELAY_MS = 16_000;
 /** One message in this many that is sent into a cut is held back; the others are lost. */
 const HELD_BACK_ONE_IN = 2;
-/** At most this many recorded heartbeats, the newest ones, are replayed when a new controller leads. */
+/** At most this many recorded heartbeats, the newest ones, are replayed. */
 const MAX_REPLAYED_HEARTBEATS = 60;
+const REPLAY_DELAYS_MS = [50, 150, 300];
 
 /** A process of a controller as the sender of requests and frames. */
 export interface ControllerProcess {
@@ -46,11 +47,15 @@
   replayHeartbeatsToNextLeader = false;
   /** Called with a description of each message between controllers and workers, or among controllers, that exceeds its limit. */
   onOversized: (description: string) => void = () => undefined;
+  /** Copies of heartbeats of at least this age reach every controller as soon as a partition has a new owner; none if null. */
+  replayToNextOwnerFromAgeMs: number | null = null;
   private isolated: string | null = null;
   /** Messages that are held back because the zone is isolated, in the order in which they were sent. */
   private readonly heldBack: (() => void)[] = [];
   private readonly recordedHeartbeats: { worker: FakeWorker; heartbeat: object }[] = [];
+  private readonly recordedForNextOwner: { worker: FakeWorker; heartbeat: object; sentAt: number }[] = [];
   private lastSeenLeader = -1;
+  private lastSeenOwners = '';
 
   constructor(
     private readonly time: VirtualTime,
@@ -173,6 +178,8 @@
     respond: (response: HttpResponse) => void,
   ): void {
     if (this.replayHeartbeatsToNextLeader) this.recordedHeartbeats.push({ worker, heartbeat });
+    if (this.replayToNextOwnerFromAgeMs !== null)
+      this.recordedForNextOwner.push({ worker, heartbeat, sentAt: this.time.now });
     if (this.oneIn(this.repeatOneHeartbeatIn)) {
       const repeatTo = this.random.int(this.nodes.length);
       this.schedule(this.random.int(HEARTBEAT_TIMEOUT_MS), () =>
@@ -226,12 +233,26 @@
     return bytes > maxBytes;
   }
 
-  /** Delivers copies of the recorded heartbeats to every controller at once as soon as a new one leads. */
+  /** Delivers copies of the recorded heartbeats to every controller at once as soon as a new one leads or owns a partition. */
   replayHeartbeats(): void {
     const leader = this.nodes.findIndex(isLeading);
-    if (leader < 0 || leader === this.lastSeenLeader) return;
-    this.lastSeenLeader = leader;
-    for (const { worker, heartbeat } of this.recordedHeartbeats.splice(0).slice(-MAX_REPLAYED_HEARTBEATS))
+    if (leader >= 0 && leader !== this.lastSeenLeader) {
+      this.lastSeenLeader = leader;
+      this.replay(this.recordedHeartbeats.splice(0).slice(-MAX_REPLAYED_HEARTBEATS));
+    }
+    const owners = JSON.stringify(this.nodes.map(ownedPartitions));
+    if (owners === this.lastSeenOwners) return;
+    this.lastSeenOwners = owners;
+    const minAgeMs = this.replayToNextOwnerFromAgeMs;
+    if (minAgeMs === null) return;
+    const old = this.recordedForNextOwner.filter(({ sentAt }) => this.time.now - sentAt >= minAgeMs);
+    // More than once, because the new owner may not act for the partition yet.
+    for (const delayMs of REPLAY_DELAYS_MS)
+      this.schedule(delayMs, () => this.replay(old.slice(-MAX_REPLAYED_HEARTBEATS)));
+  }
+
+  private replay(copies: readonly { worker: FakeWorker; heartbeat: object }[]): void {
+    for (const { worker, heartbeat } of copies)
       for (let index = 0; index < this.nodes.length; index++) this.receiveHeartbeat(index, worker, heartbeat);
   }
 
--- a/test/partition/unconfirmed-machines.test.ts
+++ b/test/partition/unconfirmed-machines.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { type HeartbeatTask } from '../../src/protocol/workers';
 import { jobSpec } from '../support/job-spec';
 import {
   REVISION_AFTER_EPOCH,
@@ -9,6 +10,15 @@
   startedTasks,
 } from '../support/partition-harness';
 
+/** A heartbeat that was sent to the earlier owner. */
+const LATE_COPY = { token: REVISION_BEFORE_EPOCH * 1024 };
+
+/** A task that the earlier owner started, in a heartbeat; an exited one is done. */
+function earlierTask(ref: string, index: number, phase: 'running' | 'exited'): HeartbeatTask {
+  const attempt = REVISION_BEFORE_EPOCH * 1_000_000 + index + 1;
+  return { ref, index, attempt, phase, exit: phase === 'exited' ? 'done' : null };
+}
+
 const cases: PartitionCase[] = [
   [
     // Heartbeats of such a machine kept arriving, and each answer counted as a renewal of its lease, which therefore never expired.
@@ -115,6 +125,96 @@
       );
     },
   ]),
+  // Guards against a team above its limit: a late copy of a heartbeat, accepted as the first one of a machine, lowered what was reserved.
+  ...(
+    [
+      [
+        'shows the machine as full of tasks of another team',
+        (partition) => {
+          partition.addTerminatedJob(jobSpec('job-9', { tasks: 4, team: 'u' }));
+          partition.addJob(jobSpec('job-1'), REVISION_BEFORE_EPOCH);
+          const full = [0, 1, 2, 3].map((index) => earlierTask('job-9', index, 'running'));
+          partition.heartbeat('silent', 0, full, LATE_COPY);
+        },
+      ],
+      [
+        'shows tasks as done that ran again elsewhere',
+        (partition) => {
+          partition.addMachine('other', REVISION_BEFORE_EPOCH);
+          partition.addJob(jobSpec('job-1'), REVISION_BEFORE_EPOCH);
+          const done = [0, 1].map((index) => earlierTask('job-1', index, 'exited'));
+          partition.heartbeat('other', 0, done, LATE_COPY);
+        },
+      ],
+      [
+        'shows tasks, since moved, of a job that is then cancelled',
+        (partition) => {
+          partition.addMachine('other', REVISION_BEFORE_EPOCH);
+          partition.addJob(jobSpec('job-1'), REVISION_BEFORE_EPOCH);
+          const moved = [0, 1].map((index) => earlierTask('job-1', index, 'running'));
+          partition.heartbeat('other', 0, moved, LATE_COPY);
+          partition.closeJob('job-1', 'cancelled');
+          partition.heartbeat('other', 100);
+        },
+      ],
+      [
+        'shows tasks, since moved, that a newer late copy shows as done',
+        (partition) => {
+          partition.addMachine('other', REVISION_BEFORE_EPOCH);
+          partition.addJob(jobSpec('job-1'), REVISION_BEFORE_EPOCH);
+          const moved = [0, 1].map((index) => earlierTask('job-1', index, 'running'));
+          partition.heartbeat('other', 0, moved, LATE_COPY);
+          const done = [0, 1].map((index) => earlierTask('job-1', index, 'exited'));
+          partition.heartbeat('other', 50, done, LATE_COPY);
+        },
+      ],
+    ] as [string, (partition: PartitionHarness) => void][]
+  ).map(([name, receiveLateCopy]): PartitionCase => [
+    `quota stays reserved for a silent machine after a late copy of a heartbeat that ${name}`,
+    (partition) => {
+      partition.addMachine('m', REVISION_AFTER_EPOCH);
+      partition.addMachine('n', REVISION_AFTER_EPOCH);
+      partition.addMachine('silent', REVISION_BEFORE_EPOCH);
+      receiveLateCopy(partition);
+      partition.core.tick(500, 0);
+      assert.equal(partition.core.quota.remaining('t').cpus, 6);
+      partition.core.tick(21_000, 0);
+      assert.equal(
+        partition.core.quota.remaining('t').cpus,
+        8,
+        'nothing is reserved once all leases have expired',
+      );
+    },
+  ]),
+  [
+    'a job is done, and no quota is reserved for it, once a confirmed machine has shown its tasks as done',
+    (partition) => {
+      partition.addMachine('other', REVISION_BEFORE_EPOCH);
+      partition.addMachine('silent', REVISION_BEFORE_EPOCH);
+      partition.addJob(jobSpec('job-1'), REVISION_BEFORE_EPOCH);
+      const done = [0, 1].map((index) => earlierTask('job-1', index, 'exited'));
+      partition.heartbeat('other', 0, done, LATE_COPY);
+      assert.equal(partition.core.terminalStates.size, 0, 'another attempt may run on the silent machine');
+      partition.heartbeat('other', 100, done);
+      assert.equal(partition.core.terminalStates.get('job-1'), 'done');
+      assert.equal(partition.core.quota.remaining('t').cpus, 8);
+    },
+  ],
+  [
+    'a job whose tasks only a late copy showed as done is done once all leases have expired',
+    (partition) => {
+      partition.addMachine('other', REVISION_BEFORE_EPOCH);
+      partition.addJob(jobSpec('job-1'), REVISION_BEFORE_EPOCH);
+      partition.heartbeat(
+        'other',
+        0,
+        [0, 1].map((index) => earlierTask('job-1', index, 'exited')),
+        LATE_COPY,
+      );
+      partition.core.tick(13_000, 0);
+      assert.equal(partition.core.terminalStates.get('job-1'), 'done');
+    },
+  ],
   [
     // Tasks that were never started were placed in one zone while other tasks of the job ran in another zone, on a machine that
     // had not sent a heartbeat yet.
