Move fencing tokens and late-message simulations into modules of their own

No behaviour changes. MachineState had grown with the size of heartbeats; its tokens are now FencingToken.

--- a/src/coordination/fleet/planned-partition.ts
+++ b/src/coordination/fleet/planned-partition.ts
@@ -54,12 +54,12 @@
   while (pending.scannedMachines < machines.length && pending.tasks > 0) {
     const machine = machines[pending.scannedMachines++] as MachineCapacity;
     if (!canRun(pending.demand, machine)) continue;
-    takeRoom(machine, pending);
+    placeOnMachine(machine, pending);
   }
 }
 
 /** Places as many tasks of a demand on a machine as it has room for. */
-export function takeRoom(machine: MachineCapacity, pending: PendingDemand): void {
+export function placeOnMachine(machine: MachineCapacity, pending: PendingDemand): void {
   const count = takeResources(machine.free, pending.demand, Math.min(pending.tasks, machine.freeTaskSlots));
   machine.freeTaskSlots -= count;
   pending.tasks -= count;
--- a/src/coordination/fleet/scale-out.ts
+++ b/src/coordination/fleet/scale-out.ts
@@ -8,7 +8,7 @@
 import { allowsMachineKind, canRun, fullCapacity } from './demand-matching';
 import {
   placeOnMachines,
-  takeRoom,
+  placeOnMachine,
   type MachineCapacity,
   type PendingDemand,
   type PlannedPartition,
@@ -164,7 +164,7 @@
 ): void {
   const freeTaskSlots = MAX_TASKS_PER_MACHINE;
   const machine = { id, free: fullCapacity(type), freeTaskSlots, type, zone, spot };
-  takeRoom(machine, pending);
+  placeOnMachine(machine, pending);
   partition.machines.push(machine);
 }
 
--- a/src/coordination/partition/command-list.ts
+++ b/src/coordination/partition/command-list.ts
@@ -10,7 +10,7 @@
     return this.added;
   }
 
-  /** Adds a command. Returns false, and adds nothing, if the answer has no room for it. */
+  /** Adds a command. Returns false, and adds nothing, if the line of the answer would be too long. */
   add(command: Command): boolean {
     const bytes = commandBytes(command);
     if (bytes > this.freeBytes) return false;
@@ -19,7 +19,7 @@
     return true;
   }
 
-  /** Number of further commands, each of at most this size, that the answer has room for. */
+  /** Number of further commands, each of at most this size, that fit into the answer. */
   countFitting(maxCommandBytes: number): number {
     return Math.floor(this.freeBytes / maxCommandBytes);
   }
--- a/src/coordination/partition/in-flight-task.ts
+++ b/src/coordination/partition/in-flight-task.ts
@@ -13,7 +13,7 @@
    * Whether the task is certain to be, or to have been, on this machine under this owner. A heartbeat of an unconfirmed machine, which
    * may be a late copy, does not prove that: the task may be on another unconfirmed machine.
    */
-  proven: boolean;
+  confirmed: boolean;
   /** Identifies the heartbeat whose answer contained the start, or which first reported the task. */
   originHeartbeat: { agentEpoch: number; sequence: number };
   /** Set once the task is to be stopped, else null. With a grace period of 0 seconds the task is killed. */
--- a/src/coordination/partition/job-set.ts
+++ b/src/coordination/partition/job-set.ts
@@ -90,7 +90,7 @@
     const job = jobs.get(ref);
     if (!job) return undefined;
     job.state = state;
-    if (state !== 'done') quota.reserveForCancelled(job.spec, job.unreportedCount);
+    if (state !== 'done') quota.reserveForCancelled(job.spec, job.reservedTaskCount);
     jobs.delete(ref);
     this.unwrittenTerminalStates.delete(ref);
     return job;
@@ -126,7 +126,7 @@
   /** Records that all machines are confirmed: the tasks on them are known, and no unreported attempt of any task is left. */
   allMachinesConfirmed(): void {
     for (const job of this.options.jobs.values()) {
-      job.proveAllDone();
+      job.confirmAllDone();
       this.markIfDone(job);
     }
     this.failInterruptedJobs();
--- a/src/coordination/partition/job.ts
+++ b/src/coordination/partition/job.ts
@@ -1,5 +1,5 @@
 import { type JobSpec } from '../../protocol/jobs';
-import { maxReportedTaskBytes, maxStartBytes } from '../../protocol/message-limits';
+import { maxTaskBytesInHeartbeat, maxStartBytes } from '../../protocol/message-limits';
 import { decodeRanges, encodeRanges } from '../../protocol/task-ranges';
 import { INITIAL_START_WATERMARK, type JobProgress, type JobState } from '../../protocol/records';
 import { type MachineState } from './machine';
@@ -21,7 +21,7 @@
    * Shown as done by a heartbeat of an unconfirmed machine only, which may be a late copy: the task is not started again, but another
    * attempt of it may still run on another unconfirmed machine.
    */
-  UnprovenDone,
+  UnconfirmedDone,
   Done,
   /** Done, and recorded in the state store. */
   Durable,
@@ -78,12 +78,12 @@
   readonly unconfirmedBelow: number;
   /** Number of pending tasks below `unconfirmedBelow`. */
   unconfirmedCount = 0;
-  private unprovenDoneCount = 0;
+  private unconfirmedDoneCount = 0;
   private readonly initialWatermark: number;
   /** Equal for jobs whose tasks need the same resources and may run on the same machines, zones of other tasks aside. */
   readonly requirementsKey: string;
   /** The most bytes that a task of the job can take in a heartbeat of its worker. */
-  readonly reportedTaskBytes: number;
+  readonly heartbeatBytes: number;
   /** The most bytes that the command to start a task of the job can take. */
   readonly startBytes: number;
   /** No pending task has a smaller index. */
@@ -110,7 +110,7 @@
     this.initialWatermark = Math.min(spec.tasks, this.runsAtMostOnce ? 0 : INITIAL_START_WATERMARK);
     this.startWatermark = progress?.startWatermark ?? this.initialWatermark;
     this.requirementsKey = requirementsKey(spec);
-    this.reportedTaskBytes = maxReportedTaskBytes(spec.ref, spec.tasks - 1);
+    this.heartbeatBytes = maxTaskBytesInHeartbeat(spec.ref, spec.tasks - 1);
     this.startBytes = maxStartBytes(spec.ref, spec.tasks - 1);
     // If the tasks must share or spread over zones, none is placed while one may be on an unconfirmed machine in any zone.
     this.unconfirmedBelow = unconfirmed ? (this.isZoneBound ? spec.tasks : this.startWatermark) : 0;
@@ -186,13 +186,13 @@
   }
 
   /** Number of tasks of which an unreported attempt may run on an unconfirmed machine. */
-  get unreportedCount(): number {
-    return this.unconfirmedCount + this.unprovenDoneCount;
+  get reservedTaskCount(): number {
+    return this.unconfirmedCount + this.unconfirmedDoneCount;
   }
 
   /** Whether all tasks are done, and certainly no attempt of them is left on a machine. */
   get certainlyOver(): boolean {
-    return this.finished && this.inFlight.size === 0 && this.unprovenDoneCount === 0;
+    return this.finished && this.inFlight.size === 0 && this.unconfirmedDoneCount === 0;
   }
 
   hasTask(index: number): boolean {
@@ -209,7 +209,7 @@
   }
 
   isDone(index: number): boolean {
-    return (this.taskStates[index] ?? TaskState.Pending) >= TaskState.UnprovenDone;
+    return (this.taskStates[index] ?? TaskState.Pending) >= TaskState.UnconfirmedDone;
   }
 
   /** Whether the state store has recorded that the task is done. */
@@ -232,15 +232,15 @@
   }
 
   /** Records that no attempt of a task that is done can be left on an unconfirmed machine. Ignores any other task. */
-  proveDone(index: number): void {
-    if (this.taskStates[index] !== TaskState.UnprovenDone) return;
+  confirmDone(index: number): void {
+    if (this.taskStates[index] !== TaskState.UnconfirmedDone) return;
     this.taskStates[index] = TaskState.Done;
-    this.unprovenDoneCount--;
+    this.unconfirmedDoneCount--;
   }
 
   /** Records that all machines are confirmed, so that no attempt of a task that is done can be left on one. */
-  proveAllDone(): void {
-    for (let i = 0; this.unprovenDoneCount > 0 && i < this.unconfirmedBelow; i++) this.proveDone(i);
+  confirmAllDone(): void {
+    for (let i = 0; this.unconfirmedDoneCount > 0 && i < this.unconfirmedBelow; i++) this.confirmDone(i);
   }
 
   /** Marks a task as no longer in flight. It is pending again unless it is done. */
@@ -259,14 +259,14 @@
   }
 
   /**
-   * Marks a task as done, whichever of its attempts succeeded. `proven`: the machine that reported it is confirmed, so that no other
+   * Marks a task as done, whichever of its attempts succeeded. `confirmed`: the machine that reported it is confirmed, so that no other
    * attempt can be left on an unconfirmed one.
    */
-  markDone(index: number, proven: boolean): void {
-    const certain = proven || index >= this.unconfirmedBelow;
+  markDone(index: number, confirmed: boolean): void {
+    const isCertain = confirmed || index >= this.unconfirmedBelow;
     if (this.isPending(index)) this.removeFromPending(index);
-    this.taskStates[index] = certain ? TaskState.Done : TaskState.UnprovenDone;
-    if (!certain) this.unprovenDoneCount++;
+    this.taskStates[index] = isCertain ? TaskState.Done : TaskState.UnconfirmedDone;
+    if (!isCertain) this.unconfirmedDoneCount++;
     this.doneCount++;
     this.triedMachines.clear();
     this.retryNotBefore.delete(index);
--- a/src/coordination/partition/machine.ts
+++ b/src/coordination/partition/machine.ts
@@ -3,10 +3,11 @@
 import { type MachineRecord } from '../../protocol/records';
 import { type Command, type Heartbeat, type HeartbeatTask } from '../../protocol/workers';
 import { CommandList } from './command-list';
+import { FencingToken } from './fencing-token';
 import { taskKey, type InFlightTask, type LostTask, type TaskExit } from './in-flight-task';
 import { MachineUsage } from './machine-usage';
 import { kindKey } from './placement';
-import { ReportRoom } from './report-room';
+import { HeartbeatCapacity } from './heartbeat-capacity';
 import { type Resources } from './resources';
 
 /** The changes that a heartbeat has revealed. */
@@ -18,8 +19,6 @@
   unknownTasks: HeartbeatTask[];
 }
 
-/** Number of tokens that one owner may use for a machine, in increasing order. */
-const TOKENS_PER_EPOCH = 1024;
 /** Added to the length of a worker's lease, to allow for timers that fire late. */
 const LEASE_MARGIN_MS = 500;
 
@@ -50,7 +49,7 @@
   confirmed: boolean;
   private readonly tasksByKey = new Map<string, InFlightTask>();
   private readonly usage = new MachineUsage();
-  private readonly reportRoom = new ReportRoom();
+  private readonly heartbeatCapacity = new HeartbeatCapacity();
   /** Exits in the last heartbeat that the worker was not told to forget yet. */
   private readonly exitedAttempts = new Map<string, TaskExit>();
   /** Images of the tasks that were started or adopted on the machine, which is assumed to have or to be fetching them. */
@@ -75,10 +74,7 @@
   cordoned = false;
   /** Whether tasks are placed on other machines for the time being. */
   deprioritized = false;
-  /** Whether the worker has shown the current token, which proves that answers reach it. */
-  tokenAcknowledged = false;
-  /** Difference between the current token and this owner's first one; less than `TOKENS_PER_EPOCH`. */
-  private tokenOffset = 0;
+  private readonly fencingToken = new FencingToken();
   /** Latest time at which an answer may have renewed the worker's lease. */
   private leaseRenewedAt: number;
   /** Time since which no other owner has answered the worker. */
@@ -120,7 +116,7 @@
     this.removeTask(task);
     this.tasksByKey.set(taskKey(task.ref, task.index), task);
     this.usage.addTask(task.spec);
-    this.reportRoom.add(task);
+    this.heartbeatCapacity.add(task);
   }
 
   private removeTask(task: InFlightTask): void {
@@ -129,12 +125,12 @@
     if (!known) return;
     this.tasksByKey.delete(key);
     this.usage.removeTask(known.spec);
-    this.reportRoom.remove(known);
+    this.heartbeatCapacity.remove(known);
   }
 
   /** Bytes that the tasks started next may take in the worker's heartbeats. Negative if the tasks on the machine take too many. */
-  get freeReportBytes(): number {
-    return this.reportRoom.freeBytes;
+  get freeHeartbeatBytes(): number {
+    return this.heartbeatCapacity.freeBytes;
   }
 
   /**
@@ -166,24 +162,18 @@
     return isAfter(heartbeat, this.agentEpoch, this.sequence);
   }
 
-  /**
-   * The fencing token to answer with. It is larger than any token of an earlier owner; `requireNewToken` increases it.
-   */
+  /** The fencing token to answer with. It is larger than any token of an earlier owner. */
   token(partitionEpoch: number): number {
-    return this.firstToken(partitionEpoch) + this.tokenOffset;
+    return this.fencingToken.current(this.tokenRevision(partitionEpoch));
   }
 
-  private firstToken(partitionEpoch: number): number {
-    return Math.max(partitionEpoch, this.revision) * TOKENS_PER_EPOCH;
+  /** Whether the worker has shown the current token, which proves that answers reach it. */
+  get tokenAcknowledged(): boolean {
+    return this.fencingToken.acknowledged;
   }
 
-  /**
-   * Requires the worker to show a new token, which proves that answers reach it. Until then no task is started, because the starts
-   * would be lost. Once all `TOKENS_PER_EPOCH` tokens are used, the last one is required again.
-   */
-  private requireNewToken(): void {
-    this.tokenAcknowledged = false;
-    if (this.tokenOffset < TOKENS_PER_EPOCH - 1) this.tokenOffset++;
+  private tokenRevision(partitionEpoch: number): number {
+    return Math.max(partitionEpoch, this.revision);
   }
 
   /** Whether a lease that was renewed at `renewedAt` has expired even if the worker's clock and this one drift apart. */
@@ -248,18 +238,16 @@
     for (const task of [...this.tasksByKey.values()])
       if (task.originHeartbeat.agentEpoch < agentEpoch) this.dropLost(task, 'interrupted', outcome);
     // The worker's lease had expired: its heartbeats may reach this owner while the answers do not reach the worker.
-    if (this.agentEpoch > 0) this.requireNewToken();
+    if (this.agentEpoch > 0) this.fencingToken.requireNew();
   }
 
   private applyToken(heartbeat: Heartbeat, partitionEpoch: number, now: number, leaseMs: number): void {
     // A worker that has received this token obeys no earlier owner, and a heartbeat with it cannot be a copy of an older one.
-    if (heartbeat.token >= this.token(partitionEpoch)) {
-      this.tokenAcknowledged = true;
-      this.confirmed = true;
-    }
+    const revision = this.tokenRevision(partitionEpoch);
+    if (this.fencingToken.acknowledge(heartbeat.token, revision)) this.confirmed = true;
     // A worker that shows none of this owner's tokens has received no answer from it. Its lease was granted by an earlier owner.
     // Once that lease has expired, all tasks that the earlier owner started are gone, although heartbeats keep arriving.
-    const receivedNoAnswer = heartbeat.token < this.firstToken(partitionEpoch);
+    const receivedNoAnswer = heartbeat.token < this.fencingToken.first(revision);
     if (receivedNoAnswer && this.leaseExpired(this.ownedSince, now, leaseMs)) this.confirmed = true;
   }
 
@@ -271,19 +259,19 @@
     const exit: TaskExit = { ref, index, attempt, reason: task.exit ?? 'other', inFlight };
     this.addExit(`${key}#${attempt}`, exit);
     if (inFlight) {
-      inFlight.proven ||= this.confirmed;
+      inFlight.confirmed ||= this.confirmed;
       this.removeTask(inFlight);
     }
     outcome.exits.push(exit);
   }
 
   private addExit(key: string, exit: TaskExit): void {
-    if (!this.exitedAttempts.has(key)) this.reportRoom.add(exit);
+    if (!this.exitedAttempts.has(key)) this.heartbeatCapacity.add(exit);
     this.exitedAttempts.set(key, exit);
   }
 
   private clearExits(): void {
-    for (const exit of this.exitedAttempts.values()) this.reportRoom.remove(exit);
+    for (const exit of this.exitedAttempts.values()) this.heartbeatCapacity.remove(exit);
     this.exitedAttempts.clear();
   }
 
@@ -300,7 +288,7 @@
         continue;
       }
       updateInFlight(inFlight, task, now);
-      inFlight.proven ||= this.confirmed;
+      inFlight.confirmed ||= this.confirmed;
     }
     return liveKeys;
   }
@@ -319,7 +307,7 @@
       startLost ||= undelivered;
       this.dropLost(task, undelivered ? 'undelivered' : 'interrupted', outcome);
     }
-    if (startLost) this.requireNewToken();
+    if (startLost) this.fencingToken.requireNew();
   }
 
   private dropLost(task: InFlightTask, release: LostTask['release'], outcome: HeartbeatOutcome): void {
@@ -337,7 +325,7 @@
       const { ref, index, attempt } = exit;
       if (!isForgettable(exit) || !commands.add({ op: 'forget', ref, index, attempt })) continue;
       this.exitedAttempts.delete(key);
-      this.reportRoom.remove(exit);
+      this.heartbeatCapacity.remove(exit);
     }
     for (const { ref, index, attempt, stop, checkpointing } of this.tasksByKey.values()) {
       // A second stop would cut the checkpoint short. Only a stop without a grace period is meant to do that.
@@ -358,7 +346,7 @@
       attempt,
       spec,
       phase: 'sent',
-      proven: true,
+      confirmed: true,
       stop: null,
       checkpointing: false,
       runningSince: null,
@@ -376,7 +364,7 @@
       attempt: task.attempt,
       spec,
       phase: 'reported',
-      proven: this.confirmed,
+      confirmed: this.confirmed,
       stop: null,
       checkpointing: task.phase === 'checkpointing',
       runningSince: task.phase === 'running' ? now : null,
--- a/src/coordination/partition/placement-plan.ts
+++ b/src/coordination/partition/placement-plan.ts
@@ -2,7 +2,7 @@
 import { type MachineState } from './machine';
 import { avoidsMachine } from './machine-failures';
 import { allowsMachine, remainingInZone } from './placement';
-import { countReportable } from './report-room';
+import { countFittingInHeartbeat } from './heartbeat-capacity';
 import { countFitting, takeResources, type Resources } from './resources';
 
 /**
@@ -17,14 +17,14 @@
   capacity: Resources;
   free: Resources;
   /** Bytes that further tasks may take in the heartbeats of the machine's worker. */
-  freeReportBytes: number;
+  freeHeartbeatBytes: number;
 }
 
 /** The room on a machine of this capacity; null if there is none, or if the capacity or a task on the machine is unknown. */
 export function roomOn(machine: MachineState, capacity: Resources | null): MachineRoom | null {
   const free = capacity && machine.free(capacity);
   if (!capacity || !free || free.cpus <= 0) return null;
-  return { machine, capacity, free, freeReportBytes: machine.freeReportBytes };
+  return { machine, capacity, free, freeHeartbeatBytes: machine.freeHeartbeatBytes };
 }
 
 interface PlannedMachine {
@@ -117,19 +117,19 @@
   private placeOn(planned: PlannedMachine, job: PartitionJob, count: number): number {
     const { room } = planned;
     const { machine } = room;
-    const { spec, reportedTaskBytes } = job;
+    const { spec, heartbeatBytes } = job;
     // The plan is used until the next one, and machines may be drained or cordoned meanwhile.
     if (planned.kind.awaited || machine.transferTarget !== null || machine.cordoned) return 0;
     if (!allowsMachine(spec, machine.record) || avoidsMachine(job, machine)) return 0;
     const { zone } = machine.record;
-    const reportable = countReportable(room.freeReportBytes, reportedTaskBytes);
+    const fittingInHeartbeat = countFittingInHeartbeat(room.freeHeartbeatBytes, heartbeatBytes);
     const taken = takeResources(
       room.free,
       spec,
-      Math.min(count, reportable, this.remainingInZone(job, zone)),
+      Math.min(count, fittingInHeartbeat, this.remainingInZone(job, zone)),
     );
     if (taken === 0) return 0;
-    room.freeReportBytes -= taken * reportedTaskBytes;
+    room.freeHeartbeatBytes -= taken * heartbeatBytes;
     planned.used = true;
     const zones = this.zonesOf(job);
     zones?.set(zone, (zones.get(zone) ?? 0) + taken);
--- a/src/coordination/partition/task-lifecycle.ts
+++ b/src/coordination/partition/task-lifecycle.ts
@@ -82,7 +82,8 @@
     // The job may have another attempt of the task in flight on another machine, where it is being stopped.
     const hasOtherAttempt = machine?.tasks.has(taskKey(task.ref, task.index)) ?? false;
     if (job && !hasOtherAttempt) this.requeue(job, task.index, now);
-    if (task.spec && !task.proven && !job?.isUnconfirmed(task.index)) quota.reserveForUnproven(task.spec);
+    if (task.spec && !task.confirmed && !job?.isUnconfirmed(task.index))
+      quota.reserveForUnconfirmedTask(task.spec);
     if (job && !hasOtherAttempt && release === 'interrupted') jobSet.failIfRunsAtMostOnce(job);
   }
 
@@ -129,7 +130,7 @@
   /** Handles a repeated success. Once its machine is confirmed, it is certain that no other attempt is left. */
   private confirmSuccess(job: PartitionJob, machine: MachineState, exit: TaskExit): void {
     if (!machine.confirmed) return;
-    job.proveDone(exit.index);
+    job.confirmDone(exit.index);
     this.deps.jobSet.markIfDone(job);
   }
 
--- a/src/coordination/partition/task-placement.ts
+++ b/src/coordination/partition/task-placement.ts
@@ -6,7 +6,7 @@
 import { avoidsMachine, isQuarantined } from './machine-failures';
 import { allowsMachine, remainingInZone } from './placement';
 import { PlacementPlan, roomOn, type MachineRoom } from './placement-plan';
-import { countReportable } from './report-room';
+import { countFittingInHeartbeat } from './heartbeat-capacity';
 import {
   countFitting,
   countWithinQuota,
@@ -268,7 +268,7 @@
       job.startableCount(this.context.unconfirmedCount === 0),
       job.maxNewStarts(now),
       allowedByQuota,
-      countReportable(machine.freeReportBytes, job.reportedTaskBytes),
+      countFittingInHeartbeat(machine.freeHeartbeatBytes, job.heartbeatBytes),
       commands.countFitting(job.startBytes),
     );
     if (n === 0 || !job.isZoneBound) return n;
--- a/src/coordination/partition/team-quota.ts
+++ b/src/coordination/partition/team-quota.ts
@@ -11,7 +11,7 @@
   readonly teams: ReadonlyMap<string, Team>;
   /** Resources that unreported tasks may use on unconfirmed machines, by team; null if they must be recomputed. */
   private reserved: Map<string, ResourceQuota> | null = null;
-  /** Resources that tasks of closed jobs which were not done, and unproven tasks, may use on unconfirmed machines, by team. */
+  /** Resources that tasks of closed jobs which were not done, and unconfirmed tasks, may use on unconfirmed machines, by team. */
   private readonly cancelled = new Map<string, ResourceQuota>();
 
   constructor(
@@ -57,12 +57,12 @@
    * Reserves quota for a task that only a heartbeat of an unconfirmed machine showed: it may run on another unconfirmed machine. Ignored
    * if all machines are confirmed.
    */
-  reserveForUnproven(spec: JobSpec): void {
+  reserveForUnconfirmedTask(spec: JobSpec): void {
     if (this.unconfirmedMachines.count > 0) this.reserveForCancelled(spec, 1);
   }
 
   /**
-   * Releases what is reserved for closed jobs and unproven tasks. Must be called once all machines are confirmed: no unreported task is left on
+   * Releases what is reserved for closed jobs and unconfirmed tasks. Must be called once all machines are confirmed: no unreported task is left on
    * them.
    */
   releaseCancelled(): void {
@@ -92,7 +92,7 @@
 
   private sumReserved(): Map<string, ResourceQuota> {
     const sums = new Map([...this.cancelled].map(([team, quantity]) => [team, { ...quantity }]));
-    for (const { spec, unreportedCount } of this.jobs.values()) addTo(sums, spec, unreportedCount);
+    for (const { spec, reservedTaskCount } of this.jobs.values()) addTo(sums, spec, reservedTaskCount);
     return sums;
   }
 }
--- a/src/protocol/message-limits.ts
+++ b/src/protocol/message-limits.ts
@@ -22,12 +22,12 @@
 const LONGEST_TASK = { ref: `job-${'9'.repeat(18)}`, index: 99_999 };
 
 /** The size of all tasks that fit into one heartbeat. */
-export const MAX_REPORTED_TASKS_BYTES = MAX_BODY_BYTES - HEARTBEAT_HEAD_BYTES;
+export const MAX_HEARTBEAT_TASKS_BYTES = MAX_BODY_BYTES - HEARTBEAT_HEAD_BYTES;
 /** The size of all commands that fit into one response to a heartbeat. */
 export const MAX_COMMANDS_BYTES = MAX_LINE_BYTES - RESPONSE_HEAD_BYTES;
 
 /** The most bytes that a task can take in a heartbeat, in whatever state it will be. */
-export function maxReportedTaskBytes(ref: string, index: number): number {
+export function maxTaskBytesInHeartbeat(ref: string, index: number): number {
   const task = { piece: toWireTaskId(ref, index), try: 0, ...LONGEST_EXIT };
   return jsonBytes(task) - 1 + MAX_ATTEMPT_DIGITS + SEPARATOR_BYTES;
 }
@@ -42,7 +42,7 @@
   return commandBytes({ op: 'start', ref, index, attempt: 0 }) - 1 + MAX_ATTEMPT_DIGITS;
 }
 
-/** A heartbeat has room for this many tasks, however long their names are. */
+/** This many tasks fit into a heartbeat, however long their names are. */
 export const MAX_TASKS_PER_MACHINE = Math.floor(
-  MAX_REPORTED_TASKS_BYTES / maxReportedTaskBytes(LONGEST_TASK.ref, LONGEST_TASK.index),
+  MAX_HEARTBEAT_TASKS_BYTES / maxTaskBytesInHeartbeat(LONGEST_TASK.ref, LONGEST_TASK.index),
 );
--- a/test/cluster/late-copies.test.ts
+++ b/test/cluster/late-copies.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { runLateCopies } from './directed-days';
+import { runLateCopies } from './late-messages';
 
 // Guards against a start command that is carried out twice, on a machine that has ended and forgotten its task, after the task has moved
 // to another machine or its job was cancelled. Start commands are sent only in answers to heartbeats.
--- a/test/cluster/late-heartbeats-at-takeover.test.ts
+++ b/test/cluster/late-heartbeats-at-takeover.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { runLateHeartbeatsAtTakeover } from './directed-days';
+import { runLateHeartbeatsAtTakeover } from './late-messages';
 
 // Guards against a team above its limit: a new owner took late copies of heartbeats for the state of a machine that it had not heard yet,
 // and reserved too little for the tasks on it.
--- a/test/cluster/removed-guards.test.ts
+++ b/test/cluster/removed-guards.test.ts
@@ -9,7 +9,7 @@
 import { Membership } from '../../src/coordination/membership/membership';
 import { PartitionCore } from '../../src/coordination/partition/partition-core';
 import { PlacementPlan, type MachineRoom } from '../../src/coordination/partition/placement-plan';
-import { ReportRoom } from '../../src/coordination/partition/report-room';
+import { HeartbeatCapacity } from '../../src/coordination/partition/heartbeat-capacity';
 import { takeResources } from '../../src/coordination/partition/resources';
 import { StartWatermarkPlan } from '../../src/coordination/partition/start-watermarks';
 import { LeaseExtensions } from '../../src/coordination/membership/lease-extension';
@@ -20,12 +20,12 @@
 import {
   runHangingWatch,
   runLargeMachineLoss,
-  runLateHeartbeatsAtTakeover,
   runTinyTasks,
   runOutageAfterRefusal,
   runWithRepeatedFault,
   runZoneBoundLoss,
 } from './directed-days';
+import { runLateHeartbeatsAtTakeover } from './late-messages';
 import { patchProperty } from '../support/patch-property';
 
 /**
@@ -191,7 +191,7 @@
     run: runLargeMachineLoss,
   },
   {
-    name: 'an owner reserves quota only for what an unproven heartbeat shows as free',
+    name: 'an owner reserves quota only for what an unconfirmed heartbeat shows as free',
     removeGuard: () => {
       const reserveFree = function (
         this: { deps: HeartbeatHandlerDependencies },
@@ -210,7 +210,7 @@
   {
     name: 'a machine is given more tasks than its worker can report',
     removeGuard: () =>
-      patchProperty(ReportRoom.prototype, 'freeBytes', { get: () => Number.MAX_SAFE_INTEGER }),
+      patchProperty(HeartbeatCapacity.prototype, 'freeBytes', { get: () => Number.MAX_SAFE_INTEGER }),
     fault: () => undefined,
     expectedViolation: /answer_line/,
     run: runTinyTasks,
