--- a/test/cluster/directed-days.ts
+++ b/test/cluster/directed-days.ts
@@ -140,18 +140,14 @@
 
 const TINY_TASKS_SIMULATION_MS = 150_000;
 /** A job of thousands of tasks that all fit on one machine, by their resources. */
-const TINY_TASKS: JobParameters = {
-  team: 'north',
+const TINY_TASKS = jobParameters({
   tasks: 3000,
   cpus: 0.02,
-  priority: 'normal',
   runMs: 6000,
   expectedS: 6,
-  checkpointIntervalS: 0,
-  checkpointDurationS: 0,
   image: 'tiny',
   imageGb: 0.1,
-};
+});
 
 /** Runs a job of thousands of tiny tasks, and a small one of another team, on a single large machine. */
 export async function runTinyTasks(
--- a/test/cluster/faults.ts
+++ b/test/cluster/faults.ts
@@ -49,7 +49,7 @@
 }
 
 /** A random machine that is up; undefined if there is none. */
-function randomWorker(cluster: VirtualCluster): FakeWorker | undefined {
+export function randomWorker(cluster: VirtualCluster): FakeWorker | undefined {
   const workers = [...cluster.cloud.workers.values()];
   return workers[cluster.randomInt(Math.max(1, workers.length))];
 }
--- a/test/cluster/late-messages.ts
+++ b/test/cluster/late-messages.ts
@@ -2,7 +2,7 @@
 import { balancerSettingsSchema } from '@heathbridge/load-balancer';
 import { createLoadBalancing } from '../../src/coordination/balancing/load-balancing';
 import { TEAMS, type JobParameters, type TaskListener } from './cluster-options';
-import { ownerIndex, schedule, type Fault } from './faults';
+import { ownerIndex, randomWorker, schedule, type Fault } from './faults';
 import { jobParameters } from './job-parameters';
 import { VirtualCluster } from './virtual-cluster';
 
@@ -20,8 +20,7 @@
 
 /** Has the cloud give notice for a random machine and take it 12 s later. Its tasks save checkpoints and move to other machines. */
 function preemptMachine(cluster: VirtualCluster): void {
-  const workers = [...cluster.cloud.workers.values()];
-  const worker = workers[cluster.randomInt(Math.max(1, workers.length))];
+  const worker = randomWorker(cluster);
   if (!worker) return;
   worker.preemptionNoticeS = 12;
   schedule(cluster, 12_000, () => cluster.cloud.terminateMachine(worker.name));
@@ -29,8 +28,7 @@
 
 /** Has a random machine hang for less than a second. */
 function hangBriefly(cluster: VirtualCluster): void {
-  const workers = [...cluster.cloud.workers.values()];
-  const worker = workers[cluster.randomInt(Math.max(1, workers.length))];
+  const worker = randomWorker(cluster);
   if (!worker) return;
   worker.hung = true;
   schedule(cluster, 200 + cluster.randomInt(700), () => (worker.hung = false));
--- a/test/cluster/simulated-network.ts
+++ b/test/cluster/simulated-network.ts
@@ -213,9 +213,10 @@
   ): void {
     const node = this.nodes[index] as ControllerNode;
     if (!node.up || !node.controller) return;
-    const parsed = parseHeartbeat(JSON.parse(JSON.stringify(heartbeat)));
+    const text = JSON.stringify(heartbeat);
+    const parsed = parseHeartbeat(JSON.parse(text));
     if (!parsed) throw new Error(`${worker.name} sent a malformed heartbeat`);
-    if (this.exceeds(MAX_BODY_BYTES, jsonBytes(heartbeat), `heartbeat of ${worker.name}`))
+    if (this.exceeds(MAX_BODY_BYTES, Buffer.byteLength(text), `heartbeat of ${worker.name}`))
       return respond({ status: 400, body: {} });
     node.controller.receiveHeartbeat(parsed, (reply) => {
       if (reply.kind === 'answer') {
@@ -240,11 +241,11 @@
       this.lastSeenLeader = leader;
       this.replay(this.recordedHeartbeats.splice(0).slice(-MAX_REPLAYED_HEARTBEATS));
     }
+    const minAgeMs = this.replayToNextOwnerFromAgeMs;
+    if (minAgeMs === null) return;
     const owners = JSON.stringify(this.nodes.map(ownedPartitions));
     if (owners === this.lastSeenOwners) return;
     this.lastSeenOwners = owners;
-    const minAgeMs = this.replayToNextOwnerFromAgeMs;
-    if (minAgeMs === null) return;
     const old = this.recordedForNextOwner.filter(({ sentAt }) => this.time.now - sentAt >= minAgeMs);
     // More than once, because the new owner may not act for the partition yet.
     for (const delayMs of REPLAY_DELAYS_MS)
--- a/test/partition/partition-demands.test.ts
+++ b/test/partition/partition-demands.test.ts
@@ -39,6 +39,14 @@
   return core.currentLoad(AGED_MS);
 }
 
+/** The status message with which an owner sends this load to the leader. */
+function statusWith(load: PartitionLoad): PeerMessage {
+  return {
+    ...{ kind: 'status' as const, member: 'a', sequence: 1, storeReachable: true, memberIncarnation: 1 },
+    ...{ misrouted: [], sinceHeartbeatMs: 0, revision: 1, partitions: [load] },
+  };
+}
+
 function shown({ accelerators, priority, tasks }: Demand): object {
   return { accelerators, priority, tasks };
 }
@@ -72,11 +80,7 @@
 });
 
 test('peers of an earlier version read the demands as before', () => {
-  const load = loadOf([jobSpec('job-1'), jobSpec('job-2', { accelerators: 1 })]);
-  const message = {
-    ...{ kind: 'status' as const, member: 'a', sequence: 1, storeReachable: true, memberIncarnation: 1 },
-    ...{ misrouted: [], sinceHeartbeatMs: 0, revision: 1, partitions: [load] },
-  };
+  const message = statusWith(loadOf([jobSpec('job-1'), jobSpec('job-2', { accelerators: 1 })]));
   const decoded: unknown = decodePeerMessage(encodePeerMessage(message));
   assert.deepEqual(JSON.parse(JSON.stringify(decoded)), JSON.parse(JSON.stringify(message)));
 });
@@ -89,18 +93,7 @@
     jobSpec(`job-${i}`, { tasks: 1, cpus: 0.1 + i / 1000, machineTypes: ['small', ...otherTypes] }),
   );
   const load = loadOf(jobs);
-  const status: PeerMessage = {
-    kind: 'status',
-    member: 'a',
-    sequence: 1,
-    storeReachable: true,
-    memberIncarnation: 4,
-    partitions: [load],
-    misrouted: [],
-    sinceHeartbeatMs: 0,
-    revision: 1,
-  };
-  const frameBytes = encodePeerMessage(status).length;
+  const frameBytes = encodePeerMessage(statusWith(load)).length;
   assert.ok(frameBytes <= MAX_FRAME_BYTES, `${frameBytes} bytes`);
   assert.deepEqual(load.demands[0]?.cpus, 0.1);
   assert.ok(load.demands.length > 1);
