Show in GET /status what is kept from machines because of failures

Neither the status nor the log could tell why: the machine may be quarantined, the job may avoid it, or the job may be retried with pauses because it fails everywhere. All three look alike from outside, and so does a machine that is passed over or a start watermark that is not raised.

Change: each partition in GET /status has 'failures', with the number of quarantined machines, of jobs that avoid a machine, and of jobs that fail everywhere.

--- /dev/null
+++ b/src/coordination/partition/failure-summary.ts
@@ -0,0 +1,31 @@
+import { type PartitionJob } from './job';
+import { type MachineState } from './machine';
+import { avoidsMachine, isQuarantined } from './machine-failures';
+
+/** What is kept from machines because of task failures. The names are part of `GET /status`. */
+export interface FailureSummary {
+  /** Number of machines that are given no task, because they are considered the cause of failures on them. */
+  quarantinedMachines: number;
+  /** Number of open jobs with pending tasks that are not started on some machine, because they failed there. */
+  avoidingJobs: number;
+  /** Number of open jobs that are retried with one task at a time, because they fail everywhere. */
+  failingJobs: number;
+}
+
+/** Counts what is kept from machines because of task failures. Costs as many steps as there are pairs of machine and failed job. */
+export function failureSummary(
+  machines: Iterable<MachineState>,
+  jobs: ReadonlyMap<string, PartitionJob>,
+): FailureSummary {
+  const avoiding = new Set<PartitionJob>();
+  let quarantinedMachines = 0;
+  for (const machine of machines) {
+    if (isQuarantined(machine, jobs)) quarantinedMachines++;
+    for (const ref of machine.failuresByJob.keys()) {
+      const job = jobs.get(ref);
+      if (job && job.pendingCount > 0 && avoidsMachine(job, machine)) avoiding.add(job);
+    }
+  }
+  const failingJobs = [...jobs.values()].filter((job) => job.failsEverywhere).length;
+  return { quarantinedMachines, avoidingJobs: avoiding.size, failingJobs };
+}
--- a/src/coordination/partition/partition-core.ts
+++ b/src/coordination/partition/partition-core.ts
@@ -9,6 +9,7 @@
 } from '../../protocol/records';
 import { type Objective, type Team } from '../../protocol/settings';
 import { type Heartbeat } from '../../protocol/workers';
+import { failureSummary } from './failure-summary';
 import { HeartbeatHandler, type HeartbeatAnswer } from './heartbeat-handler';
 import { type PartitionJob } from './job';
 import { JobSet, type OpenJob, type JobAtRevision } from './job-set';
@@ -378,6 +379,7 @@
       machines: this.machines.size,
       unconfirmed: this.unconfirmedCount,
       byRank,
+      failures: failureSummary(this.machines.values(), this.jobs),
       ...this.counters,
     };
   }
--- a/test/partition/failing-tasks.test.ts
+++ b/test/partition/failing-tasks.test.ts
@@ -48,6 +48,11 @@
       );
       assert.deepEqual(startedTasks(next), [], 'the job is not retried on this machine at once either');
       assert.equal(partition.core.currentLoad(6000).machines[0]?.quarantined, false);
+      assert.deepEqual(failuresInStatus(partition), {
+        quarantinedMachines: 0,
+        avoidingJobs: 1,
+        failingJobs: 0,
+      });
       partition.addJob(jobSpec('job-3', { tasks: 2 }));
       assert.equal(startedTasks(partition.heartbeat('m', 8000)).length, 2);
     },
@@ -133,6 +138,11 @@
   ],
 ];
 
+/** What the partition's status shows of machines and jobs that are held back because of failures. */
+function failuresInStatus(partition: PartitionHarness): unknown {
+  return (partition.core.statusSummary() as { failures: unknown }).failures;
+}
+
 test('partition: failing tasks', async (t) => {
   for (const [name, run, limit] of cases) await t.test(name, () => run(new PartitionHarness(limit)));
 });
