End the time for which failures keep work from a machine

What callers saw: a machine failed every task for some seconds and recovered.

Cause: failures keep work from machines in three ways (a quarantined machine, a job that avoids a machine, a job that fails everywhere), and each ended only with a success, which the first two kept from happening. The leader does not know which job avoids which machine and counts the machine as room for the job, so it requests no other.

Evidence: 'failures' in GET /status of the simulated case shows one job that avoids a machine, no quarantine and no job that fails everywhere.

Change: each of the three ends in time after the last failure (15 s, 10 s, and growing pauses of up to 30 s). After that one task at a time is tried, until a task succeeds or runs for longer than those that failed. The failures of a job on a machine are no longer cleared by the success of another job, or a faulty job would be started again and again beside others; those of jobs that are not open any more are dropped. The failures and retries of a job move from job.ts to job-failures.ts.

Why it works: the end depends on the last failure alone, which is over once the machine has recovered. A faulty job or machine costs one task per pause: the test of both counts at most 24 starts in two minutes on each of two machines.

--- a/src/coordination/controller/controller.ts
+++ b/src/coordination/controller/controller.ts
@@ -117,6 +117,7 @@
   /** The controller's part of the response to `GET /status`. */
   status(): object {
     const { balancing } = this.dependencies;
+    const now = this.clock.steady();
     return {
       member: this.settings.member,
       alive: this.membership.mayAct(),
@@ -126,7 +127,7 @@
       users: this.jobService.counters,
       took: this.metrics.summary(),
       unservedTeams: unservedTeamNames(this.settings.teams, this.replica.partitions.values()),
-      partitions: [...this.partitions.values()].map((partition) => partition.core.statusSummary()),
+      partitions: [...this.partitions.values()].map((partition) => partition.core.statusSummary(now)),
       ...(balancing ? { balance: this.balanceStatus(balancing) } : {}),
     };
   }
--- a/src/coordination/partition/job.ts
+++ b/src/coordination/partition/job.ts
@@ -2,18 +2,12 @@
 import { maxTaskBytesInHeartbeat, maxStartBytes } from '../../protocol/message-limits';
 import { decodeRanges, encodeRanges } from '../../protocol/task-ranges';
 import { INITIAL_START_WATERMARK, type JobProgress, type JobState } from '../../protocol/records';
+import { taskKey } from './in-flight-task';
+import { JobFailures } from './job-failures';
 import { type MachineState } from './machine';
 import { isZoneBound } from './placement';
 import { MIN_TASK_CPUS } from './resources';
 
-/**
- * A job is considered faulty if none of its tasks is done and tasks failed on at least this many machines, which make up at least
- * `FAILED_MACHINE_RATIO` of those it was started on.
- */
-const MIN_FAILED_MACHINE_COUNT = 3;
-const FAILED_MACHINE_RATIO = 0.8;
-const MAX_RETRY_PAUSE_MS = 30_000;
-
 enum TaskState {
   Pending,
   InFlight,
@@ -58,17 +52,7 @@
   doneCount = 0;
   /** Machine of each task in flight, by the task's index. */
   readonly inFlight = new Map<number, MachineState>();
-  /** Machines on which a task of the job failed. */
-  readonly failedMachines = new Set<string>();
-  /** Machines on which tasks of the job were in flight before its first task was done; empty from then on. */
-  private readonly triedMachines = new Set<string>();
-  /** Steady time in milliseconds before which a task is not started again, by the task's index. */
-  private readonly retryNotBefore = new Map<number, number>();
-  /** Number of failures of each task, by the task's index. */
-  private readonly failureCounts = new Map<number, number>();
-  /** Steady time in milliseconds before which no task is started, because the job fails everywhere. */
-  private pausedUntil = 0;
-  private retryPauseMs = 1000;
+  readonly failures: JobFailures;
   /** Tasks from this index on may not be started yet: a later owner will assume that they were never started. */
   startWatermark: number;
   /**
@@ -106,6 +90,7 @@
     }
     for (const state of this.taskStates) if (state === TaskState.Durable) this.doneCount++;
     this.pendingCount = spec.tasks - this.doneCount;
+    this.failures = new JobFailures(this.doneCount > 0);
     // A later owner must know whether a job that runs at most once was started, so this is recorded before the first start.
     this.initialWatermark = Math.min(spec.tasks, this.runsAtMostOnce ? 0 : INITIAL_START_WATERMARK);
     this.startWatermark = progress?.startWatermark ?? this.initialWatermark;
@@ -143,32 +128,18 @@
     return false;
   }
 
-  /**
-   * Whether the job itself seems faulty. A job whose long tasks keep running on most machines is not faulty; the machines on
-   * which it failed are.
-   */
+  /** Whether the job itself seems faulty: it has succeeded nowhere, and fails on nearly all machines. */
   get failsEverywhere(): boolean {
-    const { size } = this.failedMachines;
-    return (
-      this.doneCount === 0 &&
-      size >= MIN_FAILED_MACHINE_COUNT &&
-      size >= FAILED_MACHINE_RATIO * this.triedMachines.size
-    );
+    return this.failures.failsEverywhere;
   }
 
   /**
    * Number of further tasks that may be started; infinity unless the job fails everywhere. Such a job is retried with a single task
-   * at a time, with pauses in between, until its user cancels it, so that it takes no resources from other jobs.
+   * at a time, with pauses in between, so that it takes no resources from other jobs. That ends when one of its tasks succeeds or
+   * runs for longer than those that failed, or when its user cancels it.
    */
   maxNewStarts(now: number): number {
-    if (!this.failsEverywhere) return Number.POSITIVE_INFINITY;
-    return now < this.pausedUntil ? 0 : Math.max(0, 1 - this.inFlight.size);
-  }
-
-  /** Delays the next attempt of a job that fails everywhere; the delay doubles each time, up to `MAX_RETRY_PAUSE_MS`. */
-  backOff(now: number): void {
-    this.pausedUntil = now + this.retryPauseMs;
-    this.retryPauseMs = Math.min(MAX_RETRY_PAUSE_MS, this.retryPauseMs * 2);
+    return this.failures.maxNewStarts(now);
   }
 
   /** Ratio of the tasks in flight or done to the tasks of the job that its team's limit in CPUs allows to run at once. */
@@ -228,7 +199,7 @@
     if (this.isPending(index)) this.removeFromPending(index);
     this.taskStates[index] = TaskState.InFlight;
     this.inFlight.set(index, machine);
-    if (this.doneCount === 0) this.triedMachines.add(machine.id);
+    this.failures.recordStart(taskKey(this.ref, index), machine);
   }
 
   /** Records that no attempt of a task that is done can be left on an unconfirmed machine. Ignores any other task. */
@@ -246,6 +217,7 @@
   /** Marks a task as no longer in flight. It is pending again unless it is done. */
   requeue(index: number): void {
     this.inFlight.delete(index);
+    this.failures.recordEnd(taskKey(this.ref, index));
     if (this.taskStates[index] !== TaskState.InFlight) return;
     this.taskStates[index] = TaskState.Pending;
     this.pendingCount++;
@@ -268,26 +240,7 @@
     this.taskStates[index] = isCertain ? TaskState.Done : TaskState.UnconfirmedDone;
     if (!isCertain) this.unconfirmedDoneCount++;
     this.doneCount++;
-    this.triedMachines.clear();
-    this.retryNotBefore.delete(index);
-    this.failureCounts.delete(index);
-  }
-
-  /** Counts a failure of a task and returns the number of its failures so far. */
-  countFailure(index: number): number {
-    const failures = (this.failureCounts.get(index) ?? 0) + 1;
-    this.failureCounts.set(index, failures);
-    return failures;
-  }
-
-  /** Prevents a task from being started before this steady time in milliseconds. */
-  delayRetry(index: number, until: number): void {
-    this.retryNotBefore.set(index, until);
-  }
-
-  /** Allows a delayed task to be started at once. */
-  clearRetryDelay(index: number): void {
-    this.retryNotBefore.delete(index);
+    this.failures.recordSuccess(index);
   }
 
   /**
@@ -318,7 +271,7 @@
       this.firstPending++;
     for (let i = this.firstStartable(allConfirmed); i < this.startWatermark && found.length < n; i++) {
       if (this.taskStates[i] !== TaskState.Pending) continue;
-      if (this.retryNotBefore.size > 0 && (this.retryNotBefore.get(i) ?? 0) > now) continue;
+      if (this.failures.isDelayed(i, now)) continue;
       found.push(i);
     }
     return found;
--- a/src/coordination/partition/machine.ts
+++ b/src/coordination/partition/machine.ts
@@ -5,6 +5,7 @@
 import { CommandList } from './command-list';
 import { FencingToken } from './fencing-token';
 import { taskKey, type InFlightTask, type LostTask, type TaskExit } from './in-flight-task';
+import { MachineFailures } from './machine-failures';
 import { MachineUsage } from './machine-usage';
 import { kindKey } from './placement';
 import { HeartbeatCapacity } from './heartbeat-capacity';
@@ -64,10 +65,7 @@
   lastHeartbeatAt: number | null = null;
   /** Time since which the machine has had no task. Valid only while it has none. */
   idleSince: number;
-  /** Number of task exits with reason `error` on the machine since the last success on it, by job. */
-  readonly failuresByJob = new Map<string, number>();
-  /** Whether a task has succeeded on the machine since it became known to this owner. */
-  hadTaskSuccess = false;
+  readonly failures = new MachineFailures();
   /** The partition to which the machine is transferred once it is drained; null if it stays. */
   transferTarget: string | null = null;
   /** Whether the machine is being transferred or deprovisioned, so that no task may be started on it. */
--- a/src/coordination/partition/partition-core.ts
+++ b/src/coordination/partition/partition-core.ts
@@ -9,13 +9,14 @@
 } from '../../protocol/records';
 import { type Objective, type Team } from '../../protocol/settings';
 import { type Heartbeat } from '../../protocol/workers';
+import { dropOutlivedFailures } from './failure-recovery';
 import { failureSummary } from './failure-summary';
 import { HeartbeatHandler, type HeartbeatAnswer } from './heartbeat-handler';
 import { type PartitionJob } from './job';
 import { JobSet, type OpenJob, type JobAtRevision } from './job-set';
 import { type InFlightTask } from './in-flight-task';
 import { type MachineState } from './machine';
-import { isQuarantined } from './machine-failures';
+import { isQuarantined, maxStartsOn } from './machine-failures';
 import { MachineSet, type DrainedMachine } from './machine-set';
 import { partitionLoad } from './partition-load';
 import { type PartitionState } from './partition-state';
@@ -338,6 +339,7 @@
   tick(now: number, wallClockMs: number): void {
     this.queue.tick(now, wallClockMs);
     this.expireLeases(now);
+    dropOutlivedFailures(this.machines, this.jobs);
     this.quota.invalidateReserved();
     this.placement.prioritizeMachines(now);
     this.observer?.tick(now);
@@ -358,8 +360,12 @@
     return this.placement.isUnschedulable(machine, now);
   }
 
-  isQuarantined(machine: MachineState): boolean {
-    return isQuarantined(machine, this.jobs);
+  isQuarantined(machine: MachineState, now: number): boolean {
+    return isQuarantined(machine, this.jobs, now);
+  }
+
+  maxStartsOn(machine: MachineState, now: number): number {
+    return maxStartsOn(machine, this.jobs, now);
   }
 
   /** The partition's load, as it is published to the leader. */
@@ -368,7 +374,7 @@
   }
 
   /** The partition's entry in `GET /status`. Its field names are part of that interface. */
-  statusSummary(): object {
+  statusSummary(now: number): object {
     const byRank = PRIORITIES.map((name, priority) => {
       const jobs = [...this.jobs.values()].filter((job) => job.spec.priority === priority);
       const waiting = jobs.reduce((count, job) => count + job.pendingCount, 0);
@@ -379,7 +385,7 @@
       machines: this.machines.size,
       unconfirmed: this.unconfirmedCount,
       byRank,
-      failures: failureSummary(this.machines.values(), this.jobs),
+      failures: failureSummary(this.machines.values(), this.jobs, now),
       ...this.counters,
     };
   }
--- a/src/coordination/partition/partition-load.ts
+++ b/src/coordination/partition/partition-load.ts
@@ -53,7 +53,7 @@
     freeAccelerators: Math.max(0, free.accelerators),
     idleMs: machine.tasks.size > 0 ? 0 : now - machine.idleSince,
     sinceHeartbeatMs: machine.sinceHeartbeatMs(now),
-    quarantined: partition.isQuarantined(machine),
+    quarantined: partition.isQuarantined(machine, now),
     preemptionNotice: machine.preemptionDeadline !== null,
     transferTarget: machine.transferTarget,
     emptyInS,
--- a/src/coordination/partition/partition-state.ts
+++ b/src/coordination/partition/partition-state.ts
@@ -33,5 +33,7 @@
   /** Whether no new task may be placed on a machine now. */
   isUnschedulable(machine: MachineState, now: number): boolean;
   /** Whether a machine is given no tasks because it is considered the cause of task failures on it. */
-  isQuarantined(machine: MachineState): boolean;
+  isQuarantined(machine: MachineState, now: number): boolean;
+  /** Number of tasks that may be started on a machine, so far as failures on it are concerned. */
+  maxStartsOn(machine: MachineState, now: number): number;
 }
--- a/src/coordination/partition/placement-plan.ts
+++ b/src/coordination/partition/placement-plan.ts
@@ -1,6 +1,6 @@
 import { type PartitionJob } from './job';
 import { type MachineState } from './machine';
-import { avoidsMachine } from './machine-failures';
+import { maxStartsOfJob } from './machine-failures';
 import { allowsMachine, remainingInZone } from './placement';
 import { countFittingInHeartbeat } from './heartbeat-capacity';
 import { countFitting, takeResources, type Resources } from './resources';
@@ -18,13 +18,19 @@
   free: Resources;
   /** Bytes that further tasks may take in the heartbeats of the machine's worker. */
   freeHeartbeatBytes: number;
+  /** Number of tasks that may be started on the machine, so far as failures on it are concerned. */
+  maxStarts: number;
 }
 
 /** The room on a machine of this capacity; null if there is none, or if the capacity or a task on the machine is unknown. */
-export function roomOn(machine: MachineState, capacity: Resources | null): MachineRoom | null {
+export function roomOn(
+  machine: MachineState,
+  capacity: Resources | null,
+  maxStarts: number,
+): MachineRoom | null {
   const free = capacity && machine.free(capacity);
   if (!capacity || !free || free.cpus <= 0) return null;
-  return { machine, capacity, free, freeHeartbeatBytes: machine.freeHeartbeatBytes };
+  return { machine, capacity, free, freeHeartbeatBytes: machine.freeHeartbeatBytes, maxStarts };
 }
 
 interface PlannedMachine {
@@ -55,8 +61,15 @@
   private readonly zonesByJob = new Map<string, Map<string, number>>();
   private stepsLeft: number;
 
-  /** `machines`: those that accept tasks, most preferred first. `jobCount`: number of jobs that the plan is made for. */
-  constructor(machines: readonly MachineRoom[], jobCount: number) {
+  /**
+   * `machines`: those that accept tasks, most preferred first. `jobCount`: number of jobs that the plan is made for. `now`: steady time
+   * in milliseconds.
+   */
+  constructor(
+    machines: readonly MachineRoom[],
+    jobCount: number,
+    private readonly now: number,
+  ) {
     this.machines = machines.map((room) => ({ room, kind: this.kindOf(room), used: false }));
     this.stepsLeft = STEPS_PER_ITEM * (machines.length + jobCount);
   }
@@ -120,16 +133,23 @@
     const { spec, heartbeatBytes } = job;
     // The plan is used until the next one, and machines may be drained or cordoned meanwhile.
     if (planned.kind.awaited || machine.transferTarget !== null || machine.cordoned) return 0;
-    if (!allowsMachine(spec, machine.record) || avoidsMachine(job, machine)) return 0;
+    if (!allowsMachine(spec, machine.record)) return 0;
     const { zone } = machine.record;
     const fittingInHeartbeat = countFittingInHeartbeat(room.freeHeartbeatBytes, heartbeatBytes);
     const taken = takeResources(
       room.free,
       spec,
-      Math.min(count, fittingInHeartbeat, this.remainingInZone(job, zone)),
+      Math.min(
+        count,
+        fittingInHeartbeat,
+        room.maxStarts,
+        maxStartsOfJob(job, machine, this.now),
+        this.remainingInZone(job, zone),
+      ),
     );
     if (taken === 0) return 0;
     room.freeHeartbeatBytes -= taken * heartbeatBytes;
+    room.maxStarts -= taken;
     planned.used = true;
     const zones = this.zonesOf(job);
     zones?.set(zone, (zones.get(zone) ?? 0) + taken);
@@ -154,6 +174,6 @@
 
 /** Equal for jobs whose tasks find room on the same machines. */
 function searchKey(job: PartitionJob): string {
-  const isSpecial = job.isZoneBound || (job.doneCount === 0 && job.failedMachines.size > 0);
+  const isSpecial = job.isZoneBound || job.failures.avoidsMachines;
   return isSpecial ? job.ref : job.requirementsKey;
 }
--- a/src/coordination/partition/start-watermarks.ts
+++ b/src/coordination/partition/start-watermarks.ts
@@ -70,7 +70,7 @@
     const waiting = [...this.watermarks.keys()].filter((job) => this.waitingTasks(job) > 0);
     const blocked = new Set(waiting.filter((job) => this.isBlocked(job)));
     if (blocked.size === 0) return;
-    const plan = new PlacementPlan(this.roomOnMachines(), waiting.length);
+    const plan = new PlacementPlan(this.roomOnMachines(), waiting.length, this.now);
     const quota = new RemainingQuota(this.partition.quota);
     for (const job of waiting) {
       const placed = plan.place(job, quota.count(job.spec, this.waitingTasks(job)));
@@ -101,7 +101,7 @@
     const { partition, now } = this;
     return [...partition.machines.values()].flatMap((machine) => {
       if (partition.isUnschedulable(machine, now)) return [];
-      return roomOn(machine, partition.capacityOf(machine)) ?? [];
+      return roomOn(machine, partition.capacityOf(machine), partition.maxStartsOn(machine, now)) ?? [];
     });
   }
 
--- a/src/coordination/partition/task-lifecycle.ts
+++ b/src/coordination/partition/task-lifecycle.ts
@@ -117,8 +117,7 @@
   }
 
   private handleSuccess(job: PartitionJob, machine: MachineState, exit: TaskExit, now: number): void {
-    machine.failuresByJob.clear();
-    machine.hadTaskSuccess = true;
+    machine.failures.recordSuccess(job.ref);
     if (job.isDone(exit.index)) return this.confirmSuccess(job, machine, exit);
     if (!job.isPending(exit.index)) this.killInFlightAttempt(job, exit.index);
     job.markDone(exit.index, machine.confirmed);
@@ -138,7 +137,8 @@
     if (exit.reason !== 'stopped') this.observer?.taskFailed(exit.ref, exit.index, now);
     if (!REFUSED_STARTS.has(exit.reason)) this.deps.jobSet.failIfRunsAtMostOnce(job);
     if (exit.reason === 'error' || exit.reason === 'unknown') this.retryLater(job, machine, exit, now);
-    else if (exit.reason === 'no_room') job.delayRetry(exit.index, now + this.deps.heartbeatIntervalMs);
+    else if (exit.reason === 'no_room')
+      job.failures.delayRetry(exit.index, now + this.deps.heartbeatIntervalMs);
   }
 
   /**
@@ -147,12 +147,11 @@
    */
   private retryLater(job: PartitionJob, machine: MachineState, exit: TaskExit, now: number): void {
     this.deps.counters.failed++;
-    job.failedMachines.add(machine.id);
-    if (exit.reason === 'error')
-      machine.failuresByJob.set(job.ref, (machine.failuresByJob.get(job.ref) ?? 0) + 1);
-    const failures = job.countFailure(exit.index);
-    job.delayRetry(exit.index, now + Math.min(MAX_RETRY_DELAY_MS, RETRY_BASE_DELAY_MS * 2 ** failures));
-    if (job.failsEverywhere) job.backOff(now);
+    const runMs = now - (exit.inFlight?.runningSince ?? now);
+    if (exit.reason === 'error') machine.failures.recordFailure(job.ref, runMs, now);
+    const count = job.failures.recordFailure(exit.index, machine.id, runMs, now);
+    const delayMs = Math.min(MAX_RETRY_DELAY_MS, RETRY_BASE_DELAY_MS * 2 ** count);
+    job.failures.delayRetry(exit.index, now + delayMs);
   }
 
   /** Has the attempt of a task that is in flight killed, if there is one. */
--- a/src/coordination/partition/task-placement.ts
+++ b/src/coordination/partition/task-placement.ts
@@ -3,7 +3,7 @@
 import { type PartitionJob } from './job';
 import { taskKey, type InFlightTask } from './in-flight-task';
 import { type MachineState } from './machine';
-import { avoidsMachine, isQuarantined } from './machine-failures';
+import { maxStartsOfJob, maxStartsOn } from './machine-failures';
 import { allowsMachine, remainingInZone } from './placement';
 import { PlacementPlan, roomOn, type MachineRoom } from './placement-plan';
 import { countFittingInHeartbeat } from './heartbeat-capacity';
@@ -69,7 +69,7 @@
       machine.cordoned ||
       machine.transferTarget !== null ||
       machine.preemptionDeadline !== null ||
-      isQuarantined(machine, this.context.jobs) ||
+      maxStartsOn(machine, this.context.jobs, now) === 0 ||
       machine.lastHeartbeatAt === null ||
       now - machine.lastHeartbeatAt > maxAgeMs
     );
@@ -122,13 +122,14 @@
     const rooms: MachineRoom[] = [];
     for (const machine of this.context.machines.values()) {
       if (!this.acceptsTasks(machine, now)) continue;
-      const room = roomOn(machine, this.context.capacityOf(machine));
+      const maxStarts = maxStartsOn(machine, this.context.jobs, now);
+      const room = roomOn(machine, this.context.capacityOf(machine), maxStarts);
       if (room) rooms.push(room);
     }
     const onDemand = ({ machine }: MachineRoom): number => (machine.record.spot ? 0 : 1);
     rooms.sort((a, b) => onDemand(a) - onDemand(b) || a.free.cpus - b.free.cpus);
     const pending = this.context.jobsInSchedulingOrder().filter(({ pendingCount }) => pendingCount > 0);
-    const plan = new PlacementPlan(rooms, pending.length);
+    const plan = new PlacementPlan(rooms, pending.length, now);
     plan.placeAll(pending);
     return plan;
   }
@@ -260,13 +261,14 @@
     const { spec } = job;
     const fitting = countFitting(free, spec);
     if (fitting === 0 || job.state !== 'open' || !allowsMachine(spec, machine.record)) return 0;
-    if (avoidsMachine(job, machine)) return 0;
     const remaining = this.context.quota.remaining(spec.team);
     const allowedByQuota = countWithinQuota(remaining, spec);
     const n = Math.min(
       fitting,
       job.startableCount(this.context.unconfirmedCount === 0),
       job.maxNewStarts(now),
+      maxStartsOfJob(job, machine, now),
+      maxStartsOn(machine, this.context.jobs, now),
       allowedByQuota,
       countFittingInHeartbeat(machine.freeHeartbeatBytes, job.heartbeatBytes),
       commands.countFitting(job.startBytes),
--- /dev/null
+++ b/test/cluster/machine-recovery.ts
@@ -0,0 +1,68 @@
+/** Simulations of machines that fail every task that they start, and then recover. */
+import { TEAMS, type JobParameters, type VirtualClusterOptions } from './cluster-options';
+import { schedule } from './faults';
+import { jobParameters } from './job-parameters';
+import { VirtualCluster } from './virtual-cluster';
+
+/** A machine has done a job before it begins to fail. */
+const FIRST_JOB_AT = 3000;
+const FAILING_FROM = 9000;
+const JOBS_AT = 9100;
+/** Long enough for a job that is left waiting to be noticed, and for its tasks to be done if it is not. */
+const AFTER_RECOVERY_MS = 160_000;
+
+/** What happens in one simulation. */
+export interface RecoveryScenario {
+  /** The jobs that are submitted while the machines fail. */
+  jobs: readonly Partial<JobParameters>[];
+  /** How long the machines fail every task. */
+  failingMs: number;
+  /** Number of machines, all of which fail; they are up from the start, and the cloud has no others. */
+  machines: number;
+  /** Whether a job of each team is done before the machines begin to fail; true by default. */
+  firstJobs?: boolean;
+  options?: Partial<VirtualClusterOptions>;
+}
+
+/** Sets whether all machines that are up fail every task that they start. */
+export function setAllFailing({ cloud }: VirtualCluster, failing: boolean): void {
+  for (const worker of cloud.workers.values()) worker.failsAllTasks = failing;
+}
+
+/** Makes about this share of the machines that are up, or all, fail every task that they start, for `ms` virtual milliseconds. */
+export function failMachinesFor(cluster: VirtualCluster, share: number, ms: number): void {
+  const healthy = [...cluster.cloud.workers.values()].filter(({ failsAllTasks }) => !failsAllTasks);
+  const failing = healthy.filter(() => cluster.randomInt(100) < 100 * share);
+  for (const worker of failing) worker.failsAllTasks = true;
+  schedule(cluster, ms, () => failing.forEach((worker) => (worker.failsAllTasks = false)));
+}
+
+/** Runs a simulation in which all machines fail every task for a while. The cloud has no others. */
+export async function runMachineRecovery(seed: number, scenario: RecoveryScenario): Promise<VirtualCluster> {
+  const { jobs, failingMs, machines, firstJobs = true, options } = scenario;
+  const cluster = new VirtualCluster(seed, {
+    controllers: 2,
+    maxMachines: machines,
+    teamLimitFactor: 10,
+    initialMachines: [{ type: 'small', count: machines }],
+    ...options,
+  });
+  const recoveryAt = FAILING_FROM + failingMs;
+  cluster.users.faultsEndAt = recoveryAt;
+  for (const type of ['small', 'large']) cluster.cloud.exhaustedTypes.add(type);
+  if (firstJobs)
+    cluster.time.at(FIRST_JOB_AT, () =>
+      cluster.users.submitJob(900, jobParameters({ tasks: 4 * machines, runMs: 3000 })),
+    );
+  cluster.time.at(FAILING_FROM, () => setAllFailing(cluster, true));
+  for (const [n, job] of jobs.entries())
+    cluster.time.at(JOBS_AT + 100 * n, () => cluster.users.submitJob(n, jobParameters(job)));
+  cluster.time.at(recoveryAt, () => setAllFailing(cluster, false));
+  await cluster.runUntil(recoveryAt + AFTER_RECOVERY_MS);
+  return cluster;
+}
+
+/** A job of each team. */
+export function jobOfEachTeam(job: Partial<JobParameters>): Partial<JobParameters>[] {
+  return TEAMS.map(({ name: team }) => ({ ...job, team }));
+}
--- a/test/cluster/removed-guards.test.ts
+++ b/test/cluster/removed-guards.test.ts
@@ -4,6 +4,7 @@
   HeartbeatHandler,
   type HeartbeatHandlerDependencies,
 } from '../../src/coordination/partition/heartbeat-handler';
+import { FailureStreak } from '../../src/coordination/partition/failure-streak';
 import { PartitionJob } from '../../src/coordination/partition/job';
 import { MachineState } from '../../src/coordination/partition/machine';
 import { Membership } from '../../src/coordination/membership/membership';
@@ -26,6 +27,7 @@
   runZoneBoundLoss,
 } from './directed-days';
 import { runLateHeartbeatsAtTakeover } from './late-messages';
+import { runMachineRecovery } from './machine-recovery';
 import { patchProperty } from '../support/patch-property';
 
 /**
@@ -215,6 +217,31 @@
     expectedViolation: /answer_line/,
     run: runTinyTasks,
   },
+  {
+    name: 'the time for which failures keep work from a machine does not end',
+    removeGuard: () => {
+      const add = function (this: FailureStreak): void {
+        this.count++;
+        this.lastAt = Number.POSITIVE_INFINITY;
+      };
+      return patchProperty(FailureStreak.prototype, 'add', { value: add });
+    },
+    fault: () => undefined,
+    expectedViolation: /left_waiting/,
+    run: (seed) => runMachineRecovery(seed, { jobs: [{ tasks: 1 }], failingMs: 10_000, machines: 1 }),
+  },
+  {
+    name: 'only the success of a task shows that a machine has recovered',
+    removeGuard: () => patchProperty(FailureStreak.prototype, 'isOutlivedBy', { value: () => false }),
+    fault: () => undefined,
+    expectedViolation: /left_waiting/,
+    run: (seed) =>
+      runMachineRecovery(seed, {
+        jobs: [{ tasks: 4, runMs: 100_000 }],
+        failingMs: 70_000,
+        machines: 1,
+      }),
+  },
 ];
 
 test('removing a guard leads to the expected violation', async (t) => {
--- a/test/partition/failing-tasks.test.ts
+++ b/test/partition/failing-tasks.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Command } from '../../src/protocol/workers';
+import { type Command, type HeartbeatTask } from '../../src/protocol/workers';
 import { jobSpec } from '../support/job-spec';
 import {
   REVISION_AFTER_EPOCH,
@@ -48,7 +48,7 @@
       );
       assert.deepEqual(startedTasks(next), [], 'the job is not retried on this machine at once either');
       assert.equal(partition.core.currentLoad(6000).machines[0]?.quarantined, false);
-      assert.deepEqual(failuresInStatus(partition), {
+      assert.deepEqual(failuresInStatus(partition, 6000), {
         quarantinedMachines: 0,
         avoidingJobs: 1,
         failingJobs: 0,
@@ -136,11 +136,170 @@
     },
     100,
   ],
+  [
+    // Guards against a job that is never started again where it failed three times, although the machine has recovered.
+    'a job is tried again on a machine on which it failed three times, with one task at first',
+    (partition) => {
+      addProvenMachine(partition, 'm');
+      partition.addJob(jobSpec('job-2', { tasks: 8 }));
+      const failed = startCommands(partition.heartbeat('m', 4000));
+      const failedAt = 5000;
+      assert.deepEqual(startedTasks(partition.heartbeat('m', failedAt, failed.map(failedTask))), []);
+      const waitedMs = firstStartAfter(partition, 'm', failedAt) - failedAt;
+      assert.ok(waitedMs >= 5000 && waitedMs <= 20_000, `tried again after ${waitedMs} ms`);
+    },
+    100,
+  ],
+  [
+    // Guards against an array whose long tasks run one after the other on a machine that has recovered.
+    'an array is no longer limited to one task on a machine once a task runs for longer than those that failed',
+    (partition) => {
+      addProvenMachine(partition, 'm');
+      partition.addJob(jobSpec('job-2', { tasks: 8 }));
+      const failed = startCommands(partition.heartbeat('m', 4000));
+      partition.heartbeat('m', 5000, failed.map(failedTask));
+      let now = 5000;
+      let trial: Command[] = [];
+      while (trial.length === 0 && now < 60_000)
+        trial = startCommands(partition.heartbeat('m', (now += 1000)));
+      assert.equal(trial.length, 1, 'one task at first');
+      const [first] = trial as [Command];
+      const running = [taskInPhase(first, 'running')];
+      assert.deepEqual(startedTasks(partition.heartbeat('m', now + 2000, running)), [], 'no second one yet');
+      let started: string[] = [];
+      for (const until = now + 40_000; now < until && started.length === 0; now += 1000) {
+        partition.core.tick(now + 3000, 0);
+        started = startedTasks(partition.heartbeat('m', now + 3000, running));
+      }
+      assert.equal(started.length, 3, 'the rest of the machine is used while the first task still runs');
+    },
+    100,
+  ],
+  [
+    // Guards against a quarantine without an end: it used to end only by a success, and a quarantined machine is given no task.
+    'a quarantine ends even if the machine is not returned to the cloud, and begins again if the machine still fails',
+    (partition) => {
+      partition.addMachine('m', REVISION_AFTER_EPOCH);
+      partition.addJob(jobSpec('job-1', { tasks: 8 }));
+      const failed = startCommands(partition.heartbeat('m', 0));
+      partition.heartbeat('m', 1000, failed.map(failedTask));
+      assert.equal(isQuarantined(partition, 1000), true);
+      const triedAt = firstStartAfter(partition, 'm', 1000);
+      assert.ok(triedAt >= 9000 && triedAt <= 30_000, `tried again at ${triedAt} ms`);
+      assert.equal(isQuarantined(partition, triedAt), false);
+      partition.heartbeat(
+        'm',
+        triedAt + 1000,
+        [...partition.core.machines.get('m')!.tasks.values()].map(failedTask),
+      );
+      assert.equal(isQuarantined(partition, triedAt + 1000), true);
+      assert.ok(firstStartAfter(partition, 'm', triedAt + 1000) - triedAt >= 8000);
+    },
+    100,
+  ],
+  [
+    'neither a faulty job nor a faulty machine is tried often',
+    (partition) => {
+      addProvenMachine(partition, 'm');
+      partition.addMachine('n', REVISION_AFTER_EPOCH);
+      partition.addJob(jobSpec('job-2', { tasks: 100 }));
+      const starts = { m: 0, n: 0 };
+      const failing: Record<string, Command[]> = { m: [], n: [] };
+      for (let now = 4000; now < 124_000; now += 1000) {
+        for (const id of ['m', 'n'] as const) {
+          const reported = (failing[id] ?? []).map(failedTask);
+          failing[id] = startCommands(partition.heartbeat(id, now, reported));
+          starts[id] += failing[id]?.length ?? 0;
+        }
+        partition.core.tick(now, 0);
+      }
+      assert.ok(starts.m <= 24 && starts.n <= 24, `${starts.m} and ${starts.n} starts in two minutes`);
+      assert.ok(starts.m >= 6 && starts.n >= 6, 'both are still tried');
+    },
+    100,
+  ],
+  [
+    // A faulty job was started again and again beside others, whose successes cleared its failures.
+    'the successes of other jobs do not end the time for which a job avoids a machine',
+    (partition) => {
+      addProvenMachine(partition, 'm');
+      partition.addJob(jobSpec('job-2', { tasks: 100 }));
+      const failed = startCommands(partition.heartbeat('m', 4000));
+      partition.heartbeat('m', 5000, failed.map(failedTask));
+      partition.addJob(jobSpec('job-3', { tasks: 1 }));
+      const [other] = startCommands(partition.heartbeat('m', 6000)) as [Command];
+      assert.equal(other.ref, 'job-3');
+      assert.deepEqual(
+        startedTasks(partition.heartbeat('m', 8000, [taskInPhase(other, 'exited', 'done')])),
+        [],
+      );
+    },
+    100,
+  ],
+  [
+    // Guards against an array that fails everywhere and is then started one task at a time, each of which runs for minutes.
+    'a job that failed everywhere is started as others are once one of its tasks runs for longer than those that failed',
+    (partition) => {
+      partition.addJob(jobSpec('job-1', { tasks: 30 }));
+      const ids = ['m', 'n', 'o'];
+      for (const id of ids) {
+        partition.addMachine(id, REVISION_AFTER_EPOCH);
+        const failed = startCommands(partition.heartbeat(id, 0));
+        partition.heartbeat(id, 1000, failed.map(failedTask));
+      }
+      const running = new Map<string, Command[]>(ids.map((id) => [id, []]));
+      const runningCount = (): number => [...running.values()].reduce((sum, { length }) => sum + length, 0);
+      let firstAt: number | undefined;
+      for (let now = 2000; now < 90_000 && runningCount() < 12; now += 1000) {
+        for (const id of ids) {
+          const tasks = running.get(id) ?? [];
+          const reported = tasks.map((task) => taskInPhase(task, 'running'));
+          tasks.push(...startCommands(partition.heartbeat(id, now, reported)));
+        }
+        firstAt ??= runningCount() > 0 ? now : undefined;
+        if (now < (firstAt ?? now) + 5000) assert.ok(runningCount() <= 1, 'one task at first');
+        partition.core.tick(now, 0);
+      }
+      assert.equal(runningCount(), 12, 'all machines are full, although no task is done');
+    },
+    100,
+  ],
 ];
 
+/** Adds a machine on which a job has been done by 2 s. */
+function addProvenMachine(partition: PartitionHarness, id: string): void {
+  partition.addMachine(id, REVISION_AFTER_EPOCH);
+  partition.addJob(jobSpec('job-1', { tasks: 1 }));
+  const [good] = partition.heartbeat(id, 0) as [Command];
+  partition.heartbeat(id, 2000, [taskInPhase(good, 'exited', 'done')]);
+}
+
+function startCommands(commands: readonly Command[]): Command[] {
+  return commands.filter(({ op }) => op === 'start');
+}
+
+function failedTask(task: Pick<Command, 'ref' | 'index' | 'attempt'>): HeartbeatTask {
+  return { ref: task.ref, index: task.index, attempt: task.attempt, phase: 'exited', exit: 'error' };
+}
+
+/** The time of the first heartbeat of an empty machine after `from` in whose answer a task is started; it must be a single one. */
+function firstStartAfter(partition: PartitionHarness, id: string, from: number): number {
+  for (let now = from + 1000; now < from + 90_000; now += 1000) {
+    partition.core.tick(now, 0);
+    const started = startedTasks(partition.heartbeat(id, now));
+    assert.ok(started.length <= 1, 'one task at first');
+    if (started.length === 1) return now;
+  }
+  return Number.POSITIVE_INFINITY;
+}
+
+function isQuarantined(partition: PartitionHarness, now: number): boolean | undefined {
+  return partition.core.currentLoad(now).machines[0]?.quarantined;
+}
+
 /** What the partition's status shows of machines and jobs that are held back because of failures. */
-function failuresInStatus(partition: PartitionHarness): unknown {
-  return (partition.core.statusSummary() as { failures: unknown }).failures;
+function failuresInStatus(partition: PartitionHarness, now: number): unknown {
+  return (partition.core.statusSummary(now) as { failures: unknown }).failures;
 }
 
 test('partition: failing tasks', async (t) => {
