Keep one machine for jobs that are retried after pauses

What callers saw: all machines failed for a while, and a job of several tasks with them. When they had recovered, none was left: the leader had returned them as idle, the cloud had no others, and neither this job nor any other ever ran.

Cause: a job that fails everywhere demands no machine during its pauses of up to 30 s, so that no machine is provisioned for a faulty job. An idle machine is returned after 6 s or 18 s.

Change: at each tick, the owner sets the idle time of one machine with room for such a job to zero. Jobs with the same requirements share it, so the cost does not grow with their number. Nothing is demanded, and so no machine is provisioned.

Why it works: the leader returns a machine without tasks only once its owner has reported it as idle for long enough.

--- a/src/coordination/partition/machine.ts
+++ b/src/coordination/partition/machine.ts
@@ -63,7 +63,7 @@
   preemptionDeadline: number | null = null;
   /** Null if no heartbeat has been received. */
   lastHeartbeatAt: number | null = null;
-  /** Time since which the machine has had no task. Valid only while it has none. */
+  /** Time since which the machine has had no task and was kept for none. Valid only while it has none. */
   idleSince: number;
   readonly failures = new MachineFailures();
   /** The partition to which the machine is transferred once it is drained; null if it stays. */
--- a/src/coordination/partition/partition-core.ts
+++ b/src/coordination/partition/partition-core.ts
@@ -21,6 +21,7 @@
 import { partitionLoad } from './partition-load';
 import { type PartitionState } from './partition-state';
 import { type Resources } from './resources';
+import { keepMachinesForRetries } from './retry-machines';
 import { RuntimeEstimates } from './priority';
 import { SchedulingQueue } from './scheduling-queue';
 import { progressToWrite, type ProgressToWrite } from './start-watermarks';
@@ -342,6 +343,7 @@
     dropOutlivedFailures(this.machines, this.jobs);
     this.quota.invalidateReserved();
     this.placement.prioritizeMachines(now);
+    keepMachinesForRetries(this, now);
     this.observer?.tick(now);
   }
 
--- a/test/cluster/machine-recovery.test.ts
+++ b/test/cluster/machine-recovery.test.ts
@@ -11,10 +11,17 @@
   'one task, for longer': { jobs: [{ tasks: 1 }], failingMs: LONG_FAULT_MS, machines: 1 },
   'an array': { jobs: [{ tasks: 12 }], failingMs: SHORT_FAULT_MS, machines: 2 },
   'an array of long tasks': {
-    jobs: [{ tasks: 4, runMs: LONG_RUN_MS }],
+    jobs: [{ tasks: 4, runMs: LONG_RUN_MS, expectedS: LONG_RUN_MS / 1000 }],
     failingMs: LONG_FAULT_MS,
     machines: 1,
   },
+  'an array that fails everywhere': { jobs: [{ tasks: 40 }], failingMs: LONG_FAULT_MS, machines: 5 },
+  'an array of long tasks that fails everywhere': {
+    jobs: [{ tasks: 16, runMs: LONG_RUN_MS, expectedS: LONG_RUN_MS / 1000 }],
+    failingMs: LONG_FAULT_MS,
+    machines: 5,
+    cloudHasOthers: true,
+  },
   'jobs bound to zones': {
     jobs: [
       { tasks: 4, zone: 'a' },
--- a/test/cluster/machine-recovery.ts
+++ b/test/cluster/machine-recovery.ts
@@ -6,10 +6,10 @@
 
 /** A machine has done a job before it begins to fail. */
 const FIRST_JOB_AT = 3000;
-const FAILING_FROM = 9000;
-const JOBS_AT = 9100;
+const FAILING_FROM = 11_000;
+const JOBS_AT = 11_100;
 /** Long enough for a job that is left waiting to be noticed, and for its tasks to be done if it is not. */
-const AFTER_RECOVERY_MS = 160_000;
+const AFTER_RECOVERY_MS = 220_000;
 
 /** What happens in one simulation. */
 export interface RecoveryScenario {
@@ -17,8 +17,10 @@
   jobs: readonly Partial<JobParameters>[];
   /** How long the machines fail every task. */
   failingMs: number;
-  /** Number of machines, all of which fail; they are up from the start, and the cloud has no others. */
+  /** Number of machines, all of which fail; they are up from the start. */
   machines: number;
+  /** Whether the cloud has other machines in place of those that are returned; false by default. */
+  cloudHasOthers?: boolean;
   /** Whether a job of each team is done before the machines begin to fail; true by default. */
   firstJobs?: boolean;
   options?: Partial<VirtualClusterOptions>;
@@ -37,9 +39,9 @@
   schedule(cluster, ms, () => failing.forEach((worker) => (worker.failsAllTasks = false)));
 }
 
-/** Runs a simulation in which all machines fail every task for a while. The cloud has no others. */
+/** Runs a simulation in which all machines fail every task for a while. */
 export async function runMachineRecovery(seed: number, scenario: RecoveryScenario): Promise<VirtualCluster> {
-  const { jobs, failingMs, machines, firstJobs = true, options } = scenario;
+  const { jobs, failingMs, machines, cloudHasOthers = false, firstJobs = true, options } = scenario;
   const cluster = new VirtualCluster(seed, {
     controllers: 2,
     maxMachines: machines,
@@ -49,7 +51,7 @@
   });
   const recoveryAt = FAILING_FROM + failingMs;
   cluster.users.faultsEndAt = recoveryAt;
-  for (const type of ['small', 'large']) cluster.cloud.exhaustedTypes.add(type);
+  if (!cloudHasOthers) for (const type of ['small', 'large']) cluster.cloud.exhaustedTypes.add(type);
   if (firstJobs)
     cluster.time.at(FIRST_JOB_AT, () =>
       cluster.users.submitJob(900, jobParameters({ tasks: 4 * machines, runMs: 3000 })),
--- a/test/partition/failing-tasks.test.ts
+++ b/test/partition/failing-tasks.test.ts
@@ -264,6 +264,27 @@
     },
     100,
   ],
+  [
+    // Guards against a cluster whose last machine is returned as idle while a job waits for its next attempt.
+    'one machine is kept for a job that is retried after pauses, and the others count as idle',
+    (partition) => {
+      partition.addJob(jobSpec('job-1', { tasks: 30 }));
+      const ids = ['m', 'n', 'o'];
+      for (const id of ids) {
+        partition.addMachine(id, REVISION_AFTER_EPOCH);
+        const failed = startCommands(partition.heartbeat(id, 0));
+        partition.heartbeat(id, 1000, failed.map(failedTask));
+      }
+      for (let now = 2000; now <= 8000; now += 1000) {
+        for (const id of ids) partition.heartbeat(id, now);
+        partition.core.tick(now, 0);
+      }
+      const idleMs = partition.core.currentLoad(8000).machines.map((machine) => machine.idleMs);
+      assert.equal(idleMs.filter((ms) => ms === 0).length, 1, `idle for ${idleMs.join(', ')} ms`);
+      assert.equal(idleMs.filter((ms) => ms >= 6000).length, 2, `idle for ${idleMs.join(', ')} ms`);
+    },
+    100,
+  ],
 ];
 
 /** Adds a machine on which a job has been done by 2 s. */
