Keep the last machine of its kind while it fails, if the cloud has no other

What callers saw: the only machine failed every task for ten seconds and was returned after 8 s of quarantine. The cloud had no other, so the jobs never ran.

Cause: the leader returns a faulty machine without asking whether another can take its place.

Change: a quarantined machine is kept if the cloud had too few of its kind when it was last asked and the partition has no other machine of that type in that zone that works or is being provisioned. 90 s after its first quarantine it is returned all the same, since a cloud with a limit on machines may then give another. The leader's history of a machine has the time since the first of several quarantines.

Why it works: the owner ends each quarantine after 15 s and tries the machine with one task, so a machine that recovers within the 90 s gets work again. A machine for which there is a replacement is returned as before.

--- a/src/coordination/fleet/fleet-history.ts
+++ b/src/coordination/fleet/fleet-history.ts
@@ -17,8 +17,15 @@
   lastHeartbeatAt: number | null;
   /** When the loads first showed its present quarantine; null if the owner does not quarantine it. */
   quarantinedSince: number | null;
+  /** When the loads last showed it as quarantined; -Infinity if they never did. */
+  lastQuarantinedAt: number;
+  /** When the first of several quarantines in short succession began; null if there was none lately. */
+  failingSince: number | null;
 }
 
+/** A machine has recovered if it was not quarantined for this long: tasks that show that run for at most half of it. */
+const RECOVERED_AFTER_MS = 60_000;
+
 interface ProvisionsInFlight {
   partition: string;
   kind: ProvisionRequest;
@@ -58,6 +65,8 @@
       status: null,
       lastHeartbeatAt: null,
       quarantinedSince: null,
+      lastQuarantinedAt: Number.NEGATIVE_INFINITY,
+      failingSince: null,
     };
     this.machines.set(id, history);
     return history;
@@ -70,7 +79,7 @@
       const history = this.getOrCreateHistory(machine, now);
       const previousHeartbeatAt = history.lastHeartbeatAt ?? Number.NEGATIVE_INFINITY;
       history.lastHeartbeatAt = Math.max(previousHeartbeatAt, at - sinceHeartbeatMs);
-      history.quarantinedSince = quarantined ? (history.quarantinedSince ?? now) : null;
+      recordQuarantine(history, quarantined, now);
     }
   }
 
@@ -117,7 +126,7 @@
   private fleetMachine(id: string, record: MachineRecord, now: number): FleetMachine {
     const { partition, type, zone, spot, phase } = record;
     const history = this.getOrCreateHistory(id, now);
-    const { lastHeartbeatAt, quarantinedSince } = history;
+    const { lastHeartbeatAt, quarantinedSince, failingSince } = history;
     return {
       id,
       partition,
@@ -130,11 +139,20 @@
       sinceHeartbeatMs: lastHeartbeatAt === null ? 0 : now - lastHeartbeatAt,
       failed: history.status === 'failed',
       quarantinedMs: quarantinedSince === null ? 0 : now - quarantinedSince,
+      failingMs: failingSince === null ? 0 : now - failingSince,
       sinceTransferMs: now - history.transferredAt,
     };
   }
 }
 
+function recordQuarantine(history: MachineHistory, quarantined: boolean, now: number): void {
+  history.quarantinedSince = quarantined ? (history.quarantinedSince ?? now) : null;
+  if (now - history.lastQuarantinedAt > RECOVERED_AFTER_MS) history.failingSince = null;
+  if (!quarantined) return;
+  history.lastQuarantinedAt = now;
+  history.failingSince ??= now;
+}
+
 function machineInProvisioning(partition: string, { type, zone, spot }: MachineKind): FleetMachine {
   return {
     id: '',
@@ -148,6 +166,7 @@
     sinceHeartbeatMs: 0,
     failed: false,
     quarantinedMs: 0,
+    failingMs: 0,
     sinceTransferMs: Infinity,
   };
 }
--- a/src/coordination/fleet/fleet-snapshot.ts
+++ b/src/coordination/fleet/fleet-snapshot.ts
@@ -19,6 +19,8 @@
   failed: boolean;
   /** How long its partition's owner has quarantined it; 0 if it is not quarantined. */
   quarantinedMs: number;
+  /** Time since the first of its recent quarantines began; 0 if it has recovered or was never quarantined. */
+  failingMs: number;
   /** Time since this leader last ordered its transfer or a drain to the cloud; Infinity if it never did. */
   sinceTransferMs: number;
 }
@@ -30,6 +32,8 @@
   machines: readonly FleetMachine[];
   /** Whether the cloud currently has no machine of this kind. */
   capacityExhausted: (kind: MachineKind) => boolean;
+  /** Whether the cloud had too few machines of this kind when it was last asked for some. */
+  capacityRefused: (kind: MachineKind) => boolean;
   leaseMs: number;
   policy: Policy;
 }
--- a/src/coordination/fleet/scale-in.ts
+++ b/src/coordination/fleet/scale-in.ts
@@ -27,6 +27,8 @@
 const LEASE_MARGIN_MS = 5000;
 /** Within this time, runs on other machines show whether a quarantined machine or a job is at fault. */
 const MAX_QUARANTINE_MS = 8000;
+/** The last machine of its kind is kept for this long after its first quarantine, so that it can recover. */
+const MAX_FAILING_MS = 90_000;
 
 /** Scales in unusable machines, whatever the demand. */
 export function scaleInUnhealthy(plan: CapacityPlan): void {
@@ -38,11 +40,24 @@
 
 function unhealthyReason(machine: FleetMachine, plan: CapacityPlan): string | null {
   if (machine.failed) return 'failed';
-  if (machine.quarantinedMs > MAX_QUARANTINE_MS) return 'fails every task';
+  if (machine.quarantinedMs > MAX_QUARANTINE_MS && !mustRecover(machine, plan)) return 'fails every task';
   if (machine.booting && machine.ageMs > maxBootMs(machine, plan)) return 'never came up';
   return silentMs(machine, plan) > maxSilentMs(plan) ? 'silent' : null;
 }
 
+/** Whether a failing machine is kept for now: the cloud has no other of its kind, and its partition has none in its zone that works. */
+function mustRecover(machine: FleetMachine, { snapshot, loadOf }: CapacityPlan): boolean {
+  if (machine.failingMs > MAX_FAILING_MS || !snapshot.capacityRefused(machine)) return false;
+  return !snapshot.machines.some(
+    (other) =>
+      other.partition === machine.partition &&
+      other.type === machine.type &&
+      other.zone === machine.zone &&
+      !other.deprovisioning &&
+      loadOf.get(other.id)?.quarantined !== true,
+  );
+}
+
 function maxBootMs({ type }: FleetMachine, { snapshot }: CapacityPlan): number {
   const bootS = snapshot.types.get(type)?.bootS ?? DEFAULT_BOOT_S;
   return MAX_BOOT_TIME_RATIO * bootS * 1000 + BOOT_TIME_MARGIN_MS;
--- a/src/coordination/leader/fleet-planner.ts
+++ b/src/coordination/leader/fleet-planner.ts
@@ -94,6 +94,7 @@
       loads,
       machines,
       capacityExhausted: (kind) => provisioner.isExhausted(kind, now),
+      capacityRefused: (kind) => provisioner.wasRefused(kind),
       leaseMs: settings.workerLeaseMs,
       policy,
     });
--- a/src/coordination/leader/machine-provisioner.ts
+++ b/src/coordination/leader/machine-provisioner.ts
@@ -30,6 +30,8 @@
 /** Requests machines from the cloud and records what it provisions. */
 export class MachineProvisioner {
   private readonly exhaustedUntil = new Map<string, number>();
+  /** Kinds of which the cloud had too few when it was last asked for some. */
+  private readonly refusedKinds = new Set<string>();
 
   constructor(private readonly deps: MachineProvisionerDependencies) {}
 
@@ -38,6 +40,11 @@
     return (this.exhaustedUntil.get(kindKey(kind)) ?? Number.NEGATIVE_INFINITY) > now;
   }
 
+  /** Whether the cloud had too few machines of this kind when it was last asked for some. */
+  wasRefused(kind: MachineKind): boolean {
+    return this.refusedKinds.has(kindKey(kind));
+  }
+
   /** Requests the machines of scale-out actions. Calls are limited, so machines of one kind share calls across partitions. */
   requestMachines(actions: readonly FleetAction[]): void {
     for (const [key, { kind, partitions }] of groupByKind(actions)) {
@@ -62,8 +69,7 @@
   handleResult({ request, partitions }: ProvisionCall, result: ProvisionResult, now: number): void {
     const { registry, history } = this.deps;
     const provisioned = result.kind === 'provisioned' ? result.machines : [];
-    if (result.kind !== 'unknown' && provisioned.length < request.count)
-      this.exhaustedUntil.set(kindKey(request), now + CAPACITY_EXHAUSTED_MS);
+    if (result.kind !== 'unknown') this.recordCapacity(request, provisioned.length, now);
     const endProvisioning = (): void => {
       for (const partition of partitions) history.adjustProvisionsInFlight(partition, request, -1);
     };
@@ -78,6 +84,14 @@
     ]);
     void registry.record(records).then(endProvisioning);
   }
+
+  private recordCapacity(request: ProvisionRequest, provisioned: number, now: number): void {
+    const key = kindKey(request);
+    this.refusedKinds.delete(key);
+    if (provisioned >= request.count) return;
+    this.refusedKinds.add(key);
+    this.exhaustedUntil.set(key, now + CAPACITY_EXHAUSTED_MS);
+  }
 }
 
 function groupByKind(
--- a/test/cluster/left-waiting.test.ts
+++ b/test/cluster/left-waiting.test.ts
@@ -41,7 +41,7 @@
     name: 'two partitions',
     controllers: 3,
     knownFailures: [8, 10],
-    knownFailuresBesideFailingMachines: [2, 6, 8],
+    knownFailuresBesideFailingMachines: [2, 4, 8],
   },
 ];
 
--- a/test/cluster/machine-recovery.test.ts
+++ b/test/cluster/machine-recovery.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { runMachineRecovery, type RecoveryScenario } from './machine-recovery';
+import { jobOfEachTeam, runMachineRecovery, type RecoveryScenario } from './machine-recovery';
 
 const LONG_RUN_MS = 100_000;
 const SHORT_FAULT_MS = 10_000;
@@ -30,6 +30,23 @@
     failingMs: LONG_FAULT_MS,
     machines: 2,
   },
+  'several teams': {
+    jobs: jobOfEachTeam({ tasks: 3, runMs: LONG_RUN_MS / 2 }),
+    failingMs: LONG_FAULT_MS,
+    machines: 4,
+  },
+  'machines that have done nothing yet': {
+    jobs: [{ tasks: 4 }],
+    failingMs: SHORT_FAULT_MS,
+    machines: 1,
+    firstJob: false,
+  },
+  'machines that have done nothing yet, several teams': {
+    jobs: jobOfEachTeam({ tasks: 3 }),
+    failingMs: LONG_FAULT_MS,
+    machines: 3,
+    firstJob: false,
+  },
 };
 
 // Guards against machines that get no work after failures, although they have recovered: a job was never started again where it
--- a/test/cluster/machine-recovery.ts
+++ b/test/cluster/machine-recovery.ts
@@ -4,10 +4,10 @@
 import { jobParameters } from './job-parameters';
 import { VirtualCluster } from './virtual-cluster';
 
-/** A machine has done a job before it begins to fail. */
 const FIRST_JOB_AT = 3000;
-const FAILING_FROM = 11_000;
-const JOBS_AT = 11_100;
+/** When the machines begin to fail: before the first job, or after it and before they are returned as idle. */
+const FAILING_FROM = { withoutFirstJob: 3000, afterFirstJob: 11_000 };
+const JOBS_AFTER_MS = 100;
 /** Long enough for a job that is left waiting to be noticed, and for its tasks to be done if it is not. */
 const AFTER_RECOVERY_MS = 220_000;
 
@@ -21,8 +21,8 @@
   machines: number;
   /** Whether the cloud has other machines in place of those that are returned; false by default. */
   cloudHasOthers?: boolean;
-  /** Whether a job of each team is done before the machines begin to fail; true by default. */
-  firstJobs?: boolean;
+  /** Whether each machine does tasks of a first job before it begins to fail; true by default. */
+  firstJob?: boolean;
   options?: Partial<VirtualClusterOptions>;
 }
 
@@ -41,7 +41,7 @@
 
 /** Runs a simulation in which all machines fail every task for a while. */
 export async function runMachineRecovery(seed: number, scenario: RecoveryScenario): Promise<VirtualCluster> {
-  const { jobs, failingMs, machines, cloudHasOthers = false, firstJobs = true, options } = scenario;
+  const { jobs, failingMs, machines, cloudHasOthers = false, firstJob = true, options } = scenario;
   const cluster = new VirtualCluster(seed, {
     controllers: 2,
     maxMachines: machines,
@@ -49,16 +49,19 @@
     initialMachines: [{ type: 'small', count: machines }],
     ...options,
   });
-  const recoveryAt = FAILING_FROM + failingMs;
+  const failingFrom = firstJob ? FAILING_FROM.afterFirstJob : FAILING_FROM.withoutFirstJob;
+  const recoveryAt = failingFrom + failingMs;
   cluster.users.faultsEndAt = recoveryAt;
   if (!cloudHasOthers) for (const type of ['small', 'large']) cluster.cloud.exhaustedTypes.add(type);
-  if (firstJobs)
+  if (firstJob)
     cluster.time.at(FIRST_JOB_AT, () =>
       cluster.users.submitJob(900, jobParameters({ tasks: 4 * machines, runMs: 3000 })),
     );
-  cluster.time.at(FAILING_FROM, () => setAllFailing(cluster, true));
+  cluster.time.at(failingFrom, () => setAllFailing(cluster, true));
   for (const [n, job] of jobs.entries())
-    cluster.time.at(JOBS_AT + 100 * n, () => cluster.users.submitJob(n, jobParameters(job)));
+    cluster.time.at(failingFrom + (n + 1) * JOBS_AFTER_MS, () =>
+      cluster.users.submitJob(n, jobParameters(job)),
+    );
   cluster.time.at(recoveryAt, () => setAllFailing(cluster, false));
   await cluster.runUntil(recoveryAt + AFTER_RECOVERY_MS);
   return cluster;
--- a/test/fleet/autoscaler.test.ts
+++ b/test/fleet/autoscaler.test.ts
@@ -14,6 +14,7 @@
     loads: [],
     machines: [],
     capacityExhausted: () => false,
+    capacityRefused: () => false,
     leaseMs: 12_000,
     policy: DEFAULT_POLICY,
     ...change,
@@ -168,6 +169,54 @@
       },
       (a) => a.some((x) => x.kind === 'scale-in' && x.force),
     ],
+    [
+      // Guards against a job that never runs, because the only machine was returned although it was about to recover.
+      'a machine that fails every task is kept for a while if it is the last of its kind and the cloud has no other',
+      {
+        loads: [partitionLoad('p0', [], [machineLoad('i-1', { quarantined: true })])],
+        machines: [fleetMachine('i-1', { quarantinedMs: 9000, failingMs: 80_000 })],
+        capacityRefused: () => true,
+      },
+      (a) => a.length === 0,
+    ],
+    [
+      'machines that all fail every task are kept for a while if the cloud has no others',
+      {
+        loads: [
+          partitionLoad(
+            'p0',
+            [],
+            [machineLoad('i-1', { quarantined: true }), machineLoad('i-2', { quarantined: true })],
+          ),
+        ],
+        machines: [
+          fleetMachine('i-1', { quarantinedMs: 9000, failingMs: 9000 }),
+          fleetMachine('i-2', { quarantinedMs: 9000, failingMs: 9000 }),
+        ],
+        capacityRefused: () => true,
+      },
+      (a) => a.length === 0,
+    ],
+    [
+      'a machine that has failed every task for long is returned even if it is the last of its kind',
+      {
+        loads: [partitionLoad('p0', [], [machineLoad('i-1', { quarantined: true })])],
+        machines: [fleetMachine('i-1', { quarantinedMs: 9000, failingMs: 100_000 })],
+        capacityRefused: () => true,
+      },
+      (a) => a.length === 1 && a[0]?.kind === 'scale-in' && a[0].force,
+    ],
+    [
+      'a machine that fails every task is returned if another of its kind works, whatever the cloud has',
+      {
+        loads: [
+          partitionLoad('p0', [], [machineLoad('i-1', { quarantined: true }), machineLoad('i-2', busy)]),
+        ],
+        machines: [fleetMachine('i-1', { quarantinedMs: 9000, failingMs: 9000 }), fleetMachine('i-2')],
+        capacityRefused: () => true,
+      },
+      (a) => a.length === 1 && a[0]?.kind === 'scale-in' && a[0].machine === 'i-1',
+    ],
     [
       'a machine that is idle for long is returned to the cloud, one that was just emptied is kept',
       {
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -112,6 +112,7 @@
     loads: [load],
     machines,
     capacityExhausted: () => false,
+    capacityRefused: () => false,
     leaseMs: 19_000,
     policy: DEFAULT_POLICY,
   };
--- a/test/partition/partition-demands.test.ts
+++ b/test/partition/partition-demands.test.ts
@@ -62,7 +62,13 @@
     { accelerators: 1, priority: 2, tasks: 3 },
   ]);
   const actions = planCapacity({
-    ...{ types: TYPES, loads: [load], machines: [], capacityExhausted: () => false },
+    ...{
+      types: TYPES,
+      loads: [load],
+      machines: [],
+      capacityExhausted: () => false,
+      capacityRefused: () => false,
+    },
     ...{ leaseMs: 12_000, policy: DEFAULT_POLICY },
   });
   const requested = actions.flatMap((action) => (action.kind === 'scale-out' ? [action.request.type] : []));
--- a/test/support/fleet-builders.ts
+++ b/test/support/fleet-builders.ts
@@ -73,6 +73,7 @@
     sinceHeartbeatMs: 0,
     failed: false,
     quarantinedMs: 0,
+    failingMs: 0,
     sinceTransferMs: Infinity,
     ...overrides,
   };
