Run jobs whose tasks take no CPUs

Cause: CPUs were taken for the only resource. The leader counts the work of a demand as tasks times CPUs times seconds, which is 0, and requests no machine for it. A machine without free CPUs was given no task at all.

Change: the leader counts a task with at least 0.1 CPUs in its estimates of work, as it already did where it chooses the machine to request. A machine without free CPUs is offered to jobs that need none; the scheduling queue keeps their list.

Why it works: no product that decides whether a machine is requested can be 0, and how many tasks fit is decided for each resource.

--- a/src/coordination/fleet/scale-out.ts
+++ b/src/coordination/fleet/scale-out.ts
@@ -61,8 +61,9 @@
   );
 }
 
-function expectedCpuSeconds({ tasks, cpus, expectedS }: Demand): number {
-  return tasks * cpus * Math.max(expectedS, MIN_TASK_DURATION_S);
+/** The work of a demand. Never 0, so that tasks which take no CPUs or no time are given a machine, too. */
+function expectedCpuSeconds(demand: Demand): number {
+  return demand.tasks * countedCpus(demand) * Math.max(demand.expectedS, MIN_TASK_DURATION_S);
 }
 
 function isRoundFull({ actions }: CapacityPlan): boolean {
@@ -142,7 +143,7 @@
 
 /** The CPUs that tasks of a demand could use if the partition's machines ran nothing else. */
 function cpusSuitableFor(demand: Demand, { machines }: PlannedPartition): number {
-  const maxCpusPerMachine = MAX_TASKS_PER_MACHINE * demand.cpus;
+  const maxCpusPerMachine = MAX_TASKS_PER_MACHINE * countedCpus(demand);
   return machines.reduce(
     (sum, machine) => sum + (canRun(demand, machine) ? Math.min(machine.type.cpus, maxCpusPerMachine) : 0),
     0,
--- a/src/coordination/partition/partition-core.ts
+++ b/src/coordination/partition/partition-core.ts
@@ -329,6 +329,10 @@
     return this.queue.jobsInOrder();
   }
 
+  jobsWithoutCpus(): readonly PartitionJob[] {
+    return this.queue.jobsWithoutCpus();
+  }
+
   // Heartbeats and time.
 
   /** Returns the token and commands to answer a worker's heartbeat with; null if its machine is not in this partition. */
--- a/src/coordination/partition/partition-state.ts
+++ b/src/coordination/partition/partition-state.ts
@@ -30,6 +30,8 @@
   freeOn(machine: MachineState): Resources | null;
   /** Open jobs in the order in which they are offered resources. */
   jobsInSchedulingOrder(): readonly PartitionJob[];
+  /** Those of the jobs whose tasks take no CPUs, in the same order. */
+  jobsWithoutCpus(): readonly PartitionJob[];
   /** Whether no new task may be placed on a machine now. */
   isUnschedulable(machine: MachineState, now: number): boolean;
   /** Whether a machine is given no tasks because it is considered the cause of task failures on it. */
--- a/src/coordination/partition/placement-plan.ts
+++ b/src/coordination/partition/placement-plan.ts
@@ -22,14 +22,17 @@
   maxStarts: number;
 }
 
-/** The room on a machine of this capacity; null if there is none, or if the capacity or a task on the machine is unknown. */
+/**
+ * The room on a machine of this capacity; null if there is none, or if the capacity or a task on the machine is unknown. `needsCpus`:
+ * whether a machine without free CPUs has no room.
+ */
 export function roomOn(
   machine: MachineState,
   capacity: Resources | null,
-  maxStarts: number,
+  { maxStarts, needsCpus }: { maxStarts: number; needsCpus: boolean },
 ): MachineRoom | null {
   const free = capacity && machine.free(capacity);
-  if (!capacity || !free || free.cpus <= 0) return null;
+  if (!capacity || !free || (needsCpus && free.cpus <= 0)) return null;
   return { machine, capacity, free, freeHeartbeatBytes: machine.freeHeartbeatBytes, maxStarts };
 }
 
--- a/src/coordination/partition/scheduling-queue.ts
+++ b/src/coordination/partition/scheduling-queue.ts
@@ -19,6 +19,7 @@
 /** The open jobs of a partition in scheduling order. The order is cached because it is read at every heartbeat. */
 export class SchedulingQueue {
   private ordered: PartitionJob[] = [];
+  private orderedWithoutCpus: PartitionJob[] = [];
   private stale = false;
   private orderedAt = Number.NEGATIVE_INFINITY;
   private wallClockMs = 0;
@@ -51,6 +52,13 @@
       objectives,
       wallClockMs: this.wallClockMs,
     });
+    this.orderedWithoutCpus = this.ordered.filter(({ spec }) => spec.cpus === 0);
     return this.ordered;
   }
+
+  /** Those of the jobs whose tasks take no CPUs, so that they may run on machines without free CPUs, in the same order. */
+  jobsWithoutCpus(): readonly PartitionJob[] {
+    this.jobsInOrder();
+    return this.orderedWithoutCpus;
+  }
 }
--- a/src/coordination/partition/start-watermarks.ts
+++ b/src/coordination/partition/start-watermarks.ts
@@ -99,9 +99,11 @@
 
   private roomOnMachines(): MachineRoom[] {
     const { partition, now } = this;
+    const needsCpus = partition.jobsWithoutCpus().length === 0;
     return [...partition.machines.values()].flatMap((machine) => {
       if (partition.isUnschedulable(machine, now)) return [];
-      return roomOn(machine, partition.capacityOf(machine), partition.maxStartsOn(machine, now)) ?? [];
+      const maxStarts = partition.maxStartsOn(machine, now);
+      return roomOn(machine, partition.capacityOf(machine), { maxStarts, needsCpus }) ?? [];
     });
   }
 
--- a/src/coordination/partition/task-placement.ts
+++ b/src/coordination/partition/task-placement.ts
@@ -42,6 +42,8 @@
   freeOn(machine: MachineState): Resources | null;
   /** The open jobs in the order in which they are offered resources. */
   jobsInSchedulingOrder(): readonly PartitionJob[];
+  /** Those of the jobs whose tasks take no CPUs, in the same order. */
+  jobsWithoutCpus(): readonly PartitionJob[];
   /** Spreads new tasks over the machines; null if tasks are placed on spot machines and on the fullest machines first. */
   readonly spreader: PlacementSpreader | null;
 }
@@ -120,10 +122,11 @@
 
   private createPlan(now: number): PlacementPlan {
     const rooms: MachineRoom[] = [];
+    const needsCpus = this.context.jobsWithoutCpus().length === 0;
     for (const machine of this.context.machines.values()) {
       if (!this.acceptsTasks(machine, now)) continue;
       const maxStarts = maxStartsOn(machine, this.context.jobs, now);
-      const room = roomOn(machine, this.context.capacityOf(machine), maxStarts);
+      const room = roomOn(machine, this.context.capacityOf(machine), { maxStarts, needsCpus });
       if (room) rooms.push(room);
     }
     const onDemand = ({ machine }: MachineRoom): number => (machine.record.spot ? 0 : 1);
@@ -188,10 +191,12 @@
   placeTasks(machine: MachineState, commands: CommandList, now: number): void {
     if (machine.deprioritized || !this.acceptsTasks(machine, now)) return;
     const free = this.context.freeOn(machine);
-    if (!free || free.cpus <= 0) return;
+    if (!free) return;
+    const isFull = free.cpus <= 0;
+    const queue = isFull ? this.context.jobsWithoutCpus() : this.context.jobsInSchedulingOrder();
+    if (isFull && queue.length === 0) return;
     this.context.counters.placementPasses++;
-    const queue = this.context.jobsInSchedulingOrder();
-    for (let from = 0; from < queue.length && free.cpus > 0;) {
+    for (let from = 0; from < queue.length && (isFull || free.cpus > 0);) {
       const priority = queue[from]?.effectivePriority;
       let to = from + 1;
       while (to < queue.length && queue[to]?.effectivePriority === priority) to++;
--- a/test/fleet/autoscaler.test.ts
+++ b/test/fleet/autoscaler.test.ts
@@ -37,6 +37,12 @@
       { loads: [partitionLoad('p0', [demand({ tasks: 1, spot: false })], [])] },
       (a) => a.length === 1 && a[0]?.kind === 'scale-out' && !a[0].request.spot,
     ],
+    [
+      // Guards against a job that waits for ever in an idle cluster, because its tasks were expected to be no work.
+      'a machine is requested for tasks that take no CPUs',
+      { loads: [partitionLoad('p0', [demand({ cpus: 0, expectedS: 0 })], [])] },
+      (a) => a.length === 1 && a[0]?.kind === 'scale-out',
+    ],
     [
       'on-demand machines are requested if spot capacity is exhausted and nothing else can run the work',
       { loads: [partitionLoad('p0', [demand({})], [])], capacityExhausted: (k) => k.spot },
