Record machine types that the cloud adds while the controllers run

Cause: the types were recorded once and never again, and each controller preferred what it had read from the cloud itself; only the leader read again.

Change: the leader records types that are new or have changed otherwise than in price, on condition of its term and of the revision of the recorded types. All controllers decide by the recorded types; own reads count only until some are recorded. Types that the state store rejects are not sent again unchanged.

Why it works: the watch shows the same value to all controllers. A leader that was replaced, or a transaction that is carried out late, fails on its conditions.

--- a/src/coordination/controller/controller.ts
+++ b/src/coordination/controller/controller.ts
@@ -141,9 +141,9 @@
     return { leader, moves, fleet: this.leader.leading ? fleet.status(this.clock.steady()) : null };
   }
 
-  /** The machine types last received from the cloud or, if there are none, those that another controller recorded. */
+  /** The recorded machine types, by which all controllers decide, or, if there are none yet, those that this one has read itself. */
   private machineTypes(): ReadonlyMap<string, MachineType> {
-    return this.leader.machineTypes.size > 0 ? this.leader.machineTypes : this.replica.machineTypes;
+    return this.replica.machineTypes.size > 0 ? this.replica.machineTypes : this.leader.machineTypes;
   }
 
   private peerNames(): string[] {
--- a/src/coordination/leader/leader.ts
+++ b/src/coordination/leader/leader.ts
@@ -60,10 +60,9 @@
  * to partitions, and manages the machines in the cloud.
  *
  * A leader that was replaced may act for a while without noticing. It assigns no partition and records no machine, because
- * these writes are conditional on its term. It can still remove the records of machines that are gone, remove empty values and
- * write the machine types: these writes are conditional only on the revisions of the values that they change. Requests to the
- * cloud and messages to partition owners are conditional on neither; an owner applies what it is asked to do under its
- * partition's epoch.
+ * these writes are conditional on its term. It can still remove the records of machines that are gone and remove empty values:
+ * these writes are conditional only on the revisions of the values that they change. Requests to the cloud and messages to
+ * partition owners are conditional on neither; an owner applies what it is asked to do under its partition's epoch.
  */
 export class Leader extends Actor<Message> {
   private readonly leadership: Leadership;
@@ -154,10 +153,10 @@
   private tick(now: number): void {
     void this.leadership.claim();
     // No controller can accept submissions without machine types, so every controller requests them until they are known.
-    if (this.catalog.missing) this.catalog.refresh(now);
+    this.catalog.refreshIfMissing(now);
     if (!this.leading) return;
     this.assignPartitions(now);
-    this.catalog.refresh(now);
+    this.catalog.refresh(now, this.leadership.term);
     this.machineList.fetch(now);
     this.deprovisioner.deprovisionDue();
     void this.registry.removeTerminated();
--- a/src/storage/replica-view.ts
+++ b/src/storage/replica-view.ts
@@ -36,6 +36,8 @@
   readonly members = new Map<string, number>();
   leader: { member: string; term: number } | null = null;
   machineTypes: ReadonlyMap<string, MachineType> = new Map();
+  /** Revision of the value with the machine types; 0 if there is none. */
+  machineTypesRevision = 0;
   private readonly jobIndex = new JobIndex(this.events);
   private readonly fleetIndex = new FleetIndex(this.events);
   /** All jobs by ref, including those that have ended. */
@@ -133,8 +135,7 @@
       case KEY_KINDS.leader:
         return this.applyLeader(value, revision);
       case KEY_KINDS.catalog:
-        if (value !== null) this.machineTypes = new Map((value as MachineType[]).map((t) => [t.name, t]));
-        return;
+        return this.applyMachineTypes(value, revision);
       default:
         // Keys of a later version are ignored.
         return;
@@ -186,6 +187,12 @@
     this.events.next({ kind: 'members' });
   }
 
+  private applyMachineTypes(value: unknown, revision: number): void {
+    this.machineTypesRevision = value === null ? 0 : revision;
+    // Machines of the types that were known may still run tasks.
+    if (value !== null) this.machineTypes = new Map((value as MachineType[]).map((t) => [t.name, t]));
+  }
+
   private applyLeader(value: unknown, term: number): void {
     this.leader = value === null ? null : { member: (value as MemberRecord).member, term };
     this.events.next({ kind: 'members' });
