--- a/test/partition/failing-tasks.test.ts
+++ b/test/partition/failing-tasks.test.ts
@@ -240,13 +240,8 @@
     // Guards against an array that fails everywhere and is then started one task at a time, each of which runs for minutes.
     'a job that failed everywhere is started as others are once one of its tasks runs for longer than those that failed',
     (partition) => {
-      partition.addJob(jobSpec('job-1', { tasks: 30 }));
       const ids = ['m', 'n', 'o'];
-      for (const id of ids) {
-        partition.addMachine(id, REVISION_AFTER_EPOCH);
-        const failed = startCommands(partition.heartbeat(id, 0));
-        partition.heartbeat(id, 1000, failed.map(failedTask));
-      }
+      failEverywhere(partition, ids);
       const running = new Map<string, Command[]>(ids.map((id) => [id, []]));
       const runningCount = (): number => [...running.values()].reduce((sum, { length }) => sum + length, 0);
       let firstAt: number | undefined;
@@ -268,13 +263,8 @@
     // Guards against a cluster whose last machine is returned as idle while a job waits for its next attempt.
     'one machine is kept for a job that is retried after pauses, and the others count as idle',
     (partition) => {
-      partition.addJob(jobSpec('job-1', { tasks: 30 }));
       const ids = ['m', 'n', 'o'];
-      for (const id of ids) {
-        partition.addMachine(id, REVISION_AFTER_EPOCH);
-        const failed = startCommands(partition.heartbeat(id, 0));
-        partition.heartbeat(id, 1000, failed.map(failedTask));
-      }
+      failEverywhere(partition, ids);
       for (let now = 2000; now <= 8000; now += 1000) {
         for (const id of ids) partition.heartbeat(id, now);
         partition.core.tick(now, 0);
@@ -295,6 +285,16 @@
   partition.heartbeat(id, 2000, [taskInPhase(good, 'exited', 'done')]);
 }
 
+/** Adds these machines, and a job whose tasks fail on each of them at 1 s. */
+function failEverywhere(partition: PartitionHarness, ids: readonly string[]): void {
+  partition.addJob(jobSpec('job-1', { tasks: 30 }));
+  for (const id of ids) {
+    partition.addMachine(id, REVISION_AFTER_EPOCH);
+    const failed = startCommands(partition.heartbeat(id, 0));
+    partition.heartbeat(id, 1000, failed.map(failedTask));
+  }
+}
+
 function startCommands(commands: readonly Command[]): Command[] {
   return commands.filter(({ op }) => op === 'start');
 }
