Simplify the code of failures, rooms and machine types

- The room on machines is collected by one function (roomsOn), which placement and start watermarks both call, instead of by two copies.
- The number of starts after failures is decided without copying the tasks of a machine, which happened for each job and heartbeat.
- The retries of a job that fails everywhere are kept by the task's index, so that no start or end of a task builds a key.
- Delays of starts are in job.ts again: the hold of a task move is no failure.
- Whether the last machine of its kind is kept is decided with one pass over the machines, not with one for each failing machine.
- Machine types by name come from one function of the protocol; prices are left out of comparisons in a plainer way.

--- a/src/coordination/balancing/core-move-executor.ts
+++ b/src/coordination/balancing/core-move-executor.ts
@@ -46,7 +46,7 @@
     const job = this.core.jobs.get(ref);
     const key = taskKey(ref, index);
     if (!job || this.heldTasks.has(key)) return;
-    job.failures.delayRetry(index, untilMs);
+    job.delayRetry(index, untilMs);
     this.heldTasks.set(key, job.spec);
     // The task stays counted in its team's usage. Otherwise another task of the team could use up the team's limit, and
     // the move could not be completed.
@@ -58,7 +58,7 @@
     const spec = this.heldTasks.get(key);
     if (!spec || !this.heldTasks.delete(key)) return;
     this.core.quota.addUsage(spec, -1);
-    this.core.jobs.get(ref)?.failures.clearRetryDelay(index);
+    this.core.jobs.get(ref)?.clearRetryDelay(index);
   }
 
   reserveForJob(machineId: string, ref: string): void {
--- a/src/coordination/fleet/scale-in.ts
+++ b/src/coordination/fleet/scale-in.ts
@@ -32,30 +32,48 @@
 
 /** Scales in unusable machines, whatever the demand. */
 export function scaleInUnhealthy(plan: CapacityPlan): void {
+  const kept = machinesToRecover(plan);
   for (const machine of plan.snapshot.machines) {
-    const reason = machine.deprovisioning ? null : unhealthyReason(machine, plan);
+    const reason = machine.deprovisioning ? null : unhealthyReason(machine, plan, kept);
     if (reason) plan.scaleIn(machine, reason, true);
   }
 }
 
-function unhealthyReason(machine: FleetMachine, plan: CapacityPlan): string | null {
+function unhealthyReason(
+  machine: FleetMachine,
+  plan: CapacityPlan,
+  kept: ReadonlySet<FleetMachine>,
+): string | null {
   if (machine.failed) return 'failed';
-  if (machine.quarantinedMs > MAX_QUARANTINE_MS && !mustRecover(machine, plan)) return 'fails every task';
+  if (failsEveryTask(machine) && !kept.has(machine)) return 'fails every task';
   if (machine.booting && machine.ageMs > maxBootMs(machine, plan)) return 'never came up';
   return silentMs(machine, plan) > maxSilentMs(plan) ? 'silent' : null;
 }
 
-/** Whether a failing machine is kept for now: the cloud has no other of its kind, and its partition has none in its zone that works. */
-function mustRecover(machine: FleetMachine, { snapshot, loadOf }: CapacityPlan): boolean {
-  if (machine.failingMs > MAX_FAILING_MS || !snapshot.capacityRefused(machine)) return false;
-  return !snapshot.machines.some(
-    (other) =>
-      other.partition === machine.partition &&
-      other.type === machine.type &&
-      other.zone === machine.zone &&
-      !other.deprovisioning &&
-      loadOf.get(other.id)?.quarantined !== true,
+function failsEveryTask({ quarantinedMs }: FleetMachine): boolean {
+  return quarantinedMs > MAX_QUARANTINE_MS;
+}
+
+/**
+ * The failing machines that are kept for now: the cloud has no other of their kind, and their partition has none of their type in their
+ * zone that is not quarantined.
+ */
+function machinesToRecover({ snapshot, loadOf }: CapacityPlan): ReadonlySet<FleetMachine> {
+  const failing = snapshot.machines.filter(
+    (machine) =>
+      failsEveryTask(machine) && machine.failingMs <= MAX_FAILING_MS && snapshot.capacityRefused(machine),
+  );
+  if (failing.length === 0) return new Set();
+  const others = snapshot.machines.filter(
+    ({ id, deprovisioning }) => !deprovisioning && loadOf.get(id)?.quarantined !== true,
   );
+  const replaceable = new Set(others.map(replacementKey));
+  return new Set(failing.filter((machine) => !replaceable.has(replacementKey(machine))));
+}
+
+/** Equal for machines that can take each other's tasks in any case, except those that allow no spot machine. */
+function replacementKey({ partition, type, zone }: FleetMachine): string {
+  return JSON.stringify([partition, type, zone]);
 }
 
 function maxBootMs({ type }: FleetMachine, { snapshot }: CapacityPlan): number {
--- a/src/coordination/leader/machine-catalog.ts
+++ b/src/coordination/leader/machine-catalog.ts
@@ -2,7 +2,7 @@
 import { type ReplicaView } from '../../storage/replica-view';
 import { RequestPriority } from '../../storage/request-queue';
 import { type StateStoreClient } from '../../storage/state-store-client';
-import { type MachineType } from '../../protocol/cloud';
+import { machineTypesByName, type MachineType } from '../../protocol/cloud';
 import { keys } from '../../protocol/keys';
 import { type CloudClient } from './cloud-client';
 
@@ -33,7 +33,7 @@
   constructor(private readonly deps: MachineCatalogDependencies) {}
 
   /** Whether neither this controller nor the state store knows any machine type. */
-  get missing(): boolean {
+  private get missing(): boolean {
     return this.deps.replica.machineTypes.size === 0 && this.types.size === 0;
   }
 
@@ -53,7 +53,7 @@
   private async fetch(leaderTerm: number): Promise<void> {
     const types = await this.deps.cloud.fetchCatalog();
     if (!types) return;
-    this.types = byName(types);
+    this.types = machineTypesByName(types);
     await this.record(types, leaderTerm);
   }
 
@@ -67,27 +67,24 @@
     const isFirst = recorded.size === 0;
     if (!isFirst && leaderTerm === NO_TERM) return;
     if (containsAll(recorded, types) || containsAll(this.rejected, types)) return;
-    const value = [...new Map([...recorded, ...byName(types)]).values()];
+    const value = [...new Map([...recorded, ...machineTypesByName(types)]).values()];
     const unchanged = { key: keys.catalog, revision: replica.machineTypesRevision };
     const conditions = isFirst ? [unchanged] : [unchanged, { key: keys.leader, revision: leaderTerm }];
     const write = { put: keys.catalog, value };
     const result = await stateStore.transact(conditions, [write], RequestPriority.Decision);
-    this.rejected = byName(result.kind === 'rejected' ? types : []);
+    this.rejected = machineTypesByName(result.kind === 'rejected' ? types : []);
   }
 }
 
-function byName(types: readonly MachineType[]): Map<string, MachineType> {
-  return new Map(types.map((type) => [type.name, type]));
-}
-
 function containsAll(recorded: ReadonlyMap<string, MachineType>, types: readonly MachineType[]): boolean {
   return types.every((type) => isSameType(recorded.get(type.name), type));
 }
 
 /** Whether two types differ in their prices at most, which change all the time. */
-function isSameType(recorded: MachineType | undefined, { price, spotPrice, ...type }: MachineType): boolean {
-  return (
-    recorded !== undefined &&
-    isDeepStrictEqual({ ...recorded, price, spotPrice }, { ...type, price, spotPrice })
-  );
+function isSameType(recorded: MachineType | undefined, type: MachineType): boolean {
+  return recorded !== undefined && isDeepStrictEqual(withoutPrices(recorded), withoutPrices(type));
+}
+
+function withoutPrices(type: MachineType): MachineType {
+  return { ...type, price: 0, spotPrice: 0 };
 }
--- a/src/coordination/partition/job-failures.ts
+++ b/src/coordination/partition/job-failures.ts
@@ -1,4 +1,5 @@
 import { FailureStreak } from './failure-streak';
+import { taskKey } from './in-flight-task';
 import { type MachineState } from './machine';
 
 /**
@@ -11,25 +12,26 @@
 const FIRST_RETRY_PAUSE_MS = 1000;
 const MAX_RETRY_PAUSE_MS = 30_000;
 
-/** The task failures of one job, and when its tasks are retried. All times are in milliseconds of the steady clock. */
+/** The task failures of one job, and whether it is retried although it fails everywhere. All times are in milliseconds of the steady clock. */
 export class JobFailures {
   private readonly failedMachines = new Set<string>();
   /** Machines on which tasks of the job were in flight before its first success; empty from then on. */
   private readonly triedMachines = new Set<string>();
   /** Failures on any machine. */
   private streak = new FailureStreak();
-  /** Tasks in flight that were started while the job failed everywhere, by `taskKey`, with their machines. */
-  private readonly retries = new Map<string, MachineState>();
+  /** The machines of tasks in flight that were started while the job failed everywhere, by the task's index. */
+  private readonly retries = new Map<number, MachineState>();
   /** Time before which no task is started, because the job fails everywhere. */
   private pausedUntil = 0;
   private retryPauseMs = FIRST_RETRY_PAUSE_MS;
-  /** Time before which a task is not started again, by the task's index. */
-  private readonly retryNotBefore = new Map<number, number>();
   /** Number of failures of each task that is not done, by the task's index. */
   private readonly countByTask = new Map<number, number>();
 
   /** `hasSucceeded`: whether a task of the job is done. */
-  constructor(private hasSucceeded: boolean) {}
+  constructor(
+    private readonly ref: string,
+    private hasSucceeded: boolean,
+  ) {}
 
   /**
    * Whether the job itself seems faulty. A job whose long tasks keep running on most machines is not faulty; the machines on
@@ -57,8 +59,8 @@
 
   /** Whether a task that was retried while the job failed everywhere runs for longer than those that failed. */
   get isOutlived(): boolean {
-    for (const [key, { tasks, lastHeartbeatAt }] of this.retries) {
-      const task = tasks.get(key);
+    for (const [index, { tasks, lastHeartbeatAt }] of this.retries) {
+      const task = tasks.get(taskKey(this.ref, index));
       if (task && lastHeartbeatAt !== null && this.streak.isOutlivedBy(task, lastHeartbeatAt)) return true;
     }
     return false;
@@ -73,20 +75,19 @@
   }
 
   /** Records that a task is in flight on a machine. */
-  recordStart(key: string, machine: MachineState): void {
+  recordStart(index: number, machine: MachineState): void {
     if (!this.hasSucceeded) this.triedMachines.add(machine.id);
-    if (this.failsEverywhere) this.retries.set(key, machine);
+    if (this.failsEverywhere) this.retries.set(index, machine);
   }
 
   /** Records that a task is no longer in flight. */
-  recordEnd(key: string): void {
-    this.retries.delete(key);
+  recordEnd(index: number): void {
+    this.retries.delete(index);
   }
 
   recordSuccess(index: number): void {
     this.hasSucceeded = true;
     this.triedMachines.clear();
-    this.retryNotBefore.delete(index);
     this.countByTask.delete(index);
   }
 
@@ -104,19 +105,4 @@
     this.pausedUntil = now + this.retryPauseMs;
     this.retryPauseMs = Math.min(MAX_RETRY_PAUSE_MS, this.retryPauseMs * 2);
   }
-
-  /** Prevents a task from being started before this time. */
-  delayRetry(index: number, until: number): void {
-    this.retryNotBefore.set(index, until);
-  }
-
-  /** Allows a delayed task to be started at once. */
-  clearRetryDelay(index: number): void {
-    this.retryNotBefore.delete(index);
-  }
-
-  /** Whether a task is not to be started yet. */
-  isDelayed(index: number, now: number): boolean {
-    return this.retryNotBefore.size > 0 && (this.retryNotBefore.get(index) ?? 0) > now;
-  }
 }
--- a/src/coordination/partition/job.ts
+++ b/src/coordination/partition/job.ts
@@ -2,7 +2,6 @@
 import { maxTaskBytesInHeartbeat, maxStartBytes } from '../../protocol/message-limits';
 import { decodeRanges, encodeRanges } from '../../protocol/task-ranges';
 import { INITIAL_START_WATERMARK, type JobProgress, type JobState } from '../../protocol/records';
-import { taskKey } from './in-flight-task';
 import { JobFailures } from './job-failures';
 import { type MachineState } from './machine';
 import { isZoneBound } from './placement';
@@ -52,6 +51,8 @@
   doneCount = 0;
   /** Machine of each task in flight, by the task's index. */
   readonly inFlight = new Map<number, MachineState>();
+  /** Steady time in milliseconds before which a task is not started again, by the task's index. */
+  private readonly retryNotBefore = new Map<number, number>();
   readonly failures: JobFailures;
   /** Tasks from this index on may not be started yet: a later owner will assume that they were never started. */
   startWatermark: number;
@@ -90,7 +91,7 @@
     }
     for (const state of this.taskStates) if (state === TaskState.Durable) this.doneCount++;
     this.pendingCount = spec.tasks - this.doneCount;
-    this.failures = new JobFailures(this.doneCount > 0);
+    this.failures = new JobFailures(this.ref, this.doneCount > 0);
     // A later owner must know whether a job that runs at most once was started, so this is recorded before the first start.
     this.initialWatermark = Math.min(spec.tasks, this.runsAtMostOnce ? 0 : INITIAL_START_WATERMARK);
     this.startWatermark = progress?.startWatermark ?? this.initialWatermark;
@@ -199,7 +200,7 @@
     if (this.isPending(index)) this.removeFromPending(index);
     this.taskStates[index] = TaskState.InFlight;
     this.inFlight.set(index, machine);
-    this.failures.recordStart(taskKey(this.ref, index), machine);
+    this.failures.recordStart(index, machine);
   }
 
   /** Records that no attempt of a task that is done can be left on an unconfirmed machine. Ignores any other task. */
@@ -217,7 +218,7 @@
   /** Marks a task as no longer in flight. It is pending again unless it is done. */
   requeue(index: number): void {
     this.inFlight.delete(index);
-    this.failures.recordEnd(taskKey(this.ref, index));
+    this.failures.recordEnd(index);
     if (this.taskStates[index] !== TaskState.InFlight) return;
     this.taskStates[index] = TaskState.Pending;
     this.pendingCount++;
@@ -241,6 +242,17 @@
     if (!isCertain) this.unconfirmedDoneCount++;
     this.doneCount++;
     this.failures.recordSuccess(index);
+    this.retryNotBefore.delete(index);
+  }
+
+  /** Prevents a task from being started before this steady time in milliseconds. */
+  delayRetry(index: number, until: number): void {
+    this.retryNotBefore.set(index, until);
+  }
+
+  /** Allows a delayed task to be started at once. */
+  clearRetryDelay(index: number): void {
+    this.retryNotBefore.delete(index);
   }
 
   /**
@@ -271,7 +283,7 @@
       this.firstPending++;
     for (let i = this.firstStartable(allConfirmed); i < this.startWatermark && found.length < n; i++) {
       if (this.taskStates[i] !== TaskState.Pending) continue;
-      if (this.failures.isDelayed(i, now)) continue;
+      if (this.retryNotBefore.size > 0 && (this.retryNotBefore.get(i) ?? 0) > now) continue;
       found.push(i);
     }
     return found;
--- a/src/coordination/partition/machine-failures.ts
+++ b/src/coordination/partition/machine-failures.ts
@@ -12,7 +12,7 @@
 
 /** The task failures on one machine. */
 export class MachineFailures {
-  /** Failures since the last success on the machine, by job. */
+  /** Failures since the last success on the machine, by job. Each of these jobs is in `sinceOwnSuccess`, too. */
   private readonly sinceSuccess = new Map<string, FailureStreak>();
   /** Failures of each job since its own last success on the machine. */
   private readonly sinceOwnSuccess = new Map<string, FailureStreak>();
@@ -20,11 +20,11 @@
   hadSuccess = false;
 
   get isEmpty(): boolean {
-    return this.sinceSuccess.size === 0 && this.sinceOwnSuccess.size === 0;
+    return this.sinceOwnSuccess.size === 0;
   }
 
   /** Failures since the last success on the machine, by job. */
-  get all(): ReadonlyMap<string, FailureStreak> {
+  get sinceLastSuccess(): ReadonlyMap<string, FailureStreak> {
     return this.sinceSuccess;
   }
 
@@ -86,7 +86,7 @@
   const counted: FailureStreak[] = [];
   let failureCount = 0;
   let unprovenJobs = 0;
-  for (const [ref, streak] of failures.all) {
+  for (const [ref, streak] of failures.sinceLastSuccess) {
     const job = jobs.get(ref);
     if (!job || job.failsEverywhere) continue;
     if (job.doneCount > 0 || !failures.hadSuccess) failureCount += streak.count;
@@ -118,8 +118,7 @@
   jobs: ReadonlyMap<string, PartitionJob>,
   now: number,
 ): number {
-  if (machine.failures.isEmpty) return Number.POSITIVE_INFINITY;
-  return maxStartsAfter(failuresOfMachine(machine, jobs), QUARANTINE_MS, [...machine.tasks.values()], now);
+  return maxStartsAfter(failuresOfMachine(machine, jobs), QUARANTINE_MS, machine.tasks.values(), now);
 }
 
 /**
@@ -130,18 +129,22 @@
 export function maxStartsOfJob(job: PartitionJob, machine: MachineState, now: number): number {
   const streak = machine.failures.ofJob(job.ref);
   if (!streak || job.doneCount > 0 || streak.count < MAX_FAILURE_COUNT) return Number.POSITIVE_INFINITY;
-  const tasks = [...machine.tasks.values()].filter(({ ref }) => ref === job.ref);
-  return maxStartsAfter([streak], AVOIDANCE_MS, tasks, now);
+  return maxStartsAfter([streak], AVOIDANCE_MS, tasksOf(job, machine), now);
+}
+
+function* tasksOf({ ref }: PartitionJob, { tasks }: MachineState): Iterable<InFlightTask> {
+  for (const task of tasks.values()) if (task.ref === ref) yield task;
 }
 
+/** None during the pause after these failures; then one, unless one of the tasks has been started since. Unlimited without failures. */
 function maxStartsAfter(
   streaks: readonly FailureStreak[],
   pauseMs: number,
-  tasks: readonly InFlightTask[],
+  tasks: Iterable<InFlightTask>,
   now: number,
 ): number {
   if (streaks.length === 0) return Number.POSITIVE_INFINITY;
   if (isPaused(streaks, pauseMs, now)) return 0;
-  const isTried = tasks.some((task) => streaks.every((streak) => streak.precedes(task)));
-  return isTried ? 0 : 1;
+  for (const task of tasks) if (streaks.every((streak) => streak.precedes(task))) return 0;
+  return 1;
 }
--- a/src/coordination/partition/placement-plan.ts
+++ b/src/coordination/partition/placement-plan.ts
@@ -22,18 +22,37 @@
   maxStarts: number;
 }
 
+/** The state of a partition on which the room on its machines depends. */
+export interface RoomSource {
+  readonly machines: ReadonlyMap<string, MachineState>;
+  /** Capacity of a machine; null if its type is unknown. */
+  capacityOf(machine: MachineState): Resources | null;
+  /** Number of tasks that may be started on a machine, so far as failures on it are concerned. */
+  maxStartsOn(machine: MachineState, now: number): number;
+  /** The open jobs whose tasks take no CPUs, in the order in which jobs are offered resources. */
+  jobsWithoutCpus(): readonly PartitionJob[];
+}
+
 /**
- * The room on a machine of this capacity; null if there is none, or if the capacity or a task on the machine is unknown. `needsCpus`:
- * whether a machine without free CPUs has no room.
+ * The room on the machines that `accepts` holds for. Machines whose capacity, or a task on which, is unknown have none, nor have those
+ * without free CPUs unless there are jobs that need none.
  */
-export function roomOn(
-  machine: MachineState,
-  capacity: Resources | null,
-  { maxStarts, needsCpus }: { maxStarts: number; needsCpus: boolean },
-): MachineRoom | null {
-  const free = capacity && machine.free(capacity);
-  if (!capacity || !free || (needsCpus && free.cpus <= 0)) return null;
-  return { machine, capacity, free, freeHeartbeatBytes: machine.freeHeartbeatBytes, maxStarts };
+export function roomsOn(
+  source: RoomSource,
+  accepts: (machine: MachineState) => boolean,
+  now: number,
+): MachineRoom[] {
+  const needsCpus = source.jobsWithoutCpus().length === 0;
+  const rooms: MachineRoom[] = [];
+  for (const machine of source.machines.values()) {
+    if (!accepts(machine)) continue;
+    const capacity = source.capacityOf(machine);
+    const free = capacity && machine.free(capacity);
+    if (!capacity || !free || (needsCpus && free.cpus <= 0)) continue;
+    const { freeHeartbeatBytes } = machine;
+    rooms.push({ machine, capacity, free, freeHeartbeatBytes, maxStarts: source.maxStartsOn(machine, now) });
+  }
+  return rooms;
 }
 
 interface PlannedMachine {
--- a/src/coordination/partition/start-watermarks.ts
+++ b/src/coordination/partition/start-watermarks.ts
@@ -1,7 +1,7 @@
 import { INITIAL_START_WATERMARK, type JobProgress } from '../../protocol/records';
 import { type PartitionJob } from './job';
 import { type PartitionState } from './partition-state';
-import { PlacementPlan, roomOn, type MachineRoom } from './placement-plan';
+import { PlacementPlan, roomsOn } from './placement-plan';
 import { RemainingQuota } from './remaining-quota';
 import { MIN_TASK_CPUS } from './resources';
 
@@ -70,8 +70,10 @@
     const waiting = [...this.watermarks.keys()].filter((job) => this.waitingTasks(job) > 0);
     const blocked = new Set(waiting.filter((job) => this.isBlocked(job)));
     if (blocked.size === 0) return;
-    const plan = new PlacementPlan(this.roomOnMachines(), waiting.length, this.now);
-    const quota = new RemainingQuota(this.partition.quota);
+    const { partition, now } = this;
+    const rooms = roomsOn(partition, (machine) => !partition.isUnschedulable(machine, now), now);
+    const plan = new PlacementPlan(rooms, waiting.length, now);
+    const quota = new RemainingQuota(partition.quota);
     for (const job of waiting) {
       const placed = plan.place(job, quota.count(job.spec, this.waitingTasks(job)));
       quota.take(job.spec, placed);
@@ -97,16 +99,6 @@
     return Math.max(job.startWatermark, job.watermarkToStart(tasksToStart, this.allConfirmed));
   }
 
-  private roomOnMachines(): MachineRoom[] {
-    const { partition, now } = this;
-    const needsCpus = partition.jobsWithoutCpus().length === 0;
-    return [...partition.machines.values()].flatMap((machine) => {
-      if (partition.isUnschedulable(machine, now)) return [];
-      const maxStarts = partition.maxStartsOn(machine, now);
-      return roomOn(machine, partition.capacityOf(machine), { maxStarts, needsCpus }) ?? [];
-    });
-  }
-
   /** Number of CPUs that may be allocated before start watermarks are raised the next time. */
   private allocatableCpus(): number {
     const { partition, now } = this;
--- a/src/coordination/partition/task-lifecycle.ts
+++ b/src/coordination/partition/task-lifecycle.ts
@@ -137,8 +137,7 @@
     if (exit.reason !== 'stopped') this.observer?.taskFailed(exit.ref, exit.index, now);
     if (!REFUSED_STARTS.has(exit.reason)) this.deps.jobSet.failIfRunsAtMostOnce(job);
     if (exit.reason === 'error' || exit.reason === 'unknown') this.retryLater(job, machine, exit, now);
-    else if (exit.reason === 'no_room')
-      job.failures.delayRetry(exit.index, now + this.deps.heartbeatIntervalMs);
+    else if (exit.reason === 'no_room') job.delayRetry(exit.index, now + this.deps.heartbeatIntervalMs);
   }
 
   /**
@@ -150,8 +149,7 @@
     const runMs = now - (exit.inFlight?.runningSince ?? now);
     if (exit.reason === 'error') machine.failures.recordFailure(job.ref, runMs, now);
     const count = job.failures.recordFailure(exit.index, machine.id, runMs, now);
-    const delayMs = Math.min(MAX_RETRY_DELAY_MS, RETRY_BASE_DELAY_MS * 2 ** count);
-    job.failures.delayRetry(exit.index, now + delayMs);
+    job.delayRetry(exit.index, now + Math.min(MAX_RETRY_DELAY_MS, RETRY_BASE_DELAY_MS * 2 ** count));
   }
 
   /** Has the attempt of a task that is in flight killed, if there is one. */
--- a/src/coordination/partition/task-placement.ts
+++ b/src/coordination/partition/task-placement.ts
@@ -3,9 +3,9 @@
 import { type PartitionJob } from './job';
 import { taskKey, type InFlightTask } from './in-flight-task';
 import { type MachineState } from './machine';
-import { maxStartsOfJob, maxStartsOn } from './machine-failures';
+import { maxStartsOfJob } from './machine-failures';
 import { allowsMachine, remainingInZone } from './placement';
-import { PlacementPlan, roomOn, type MachineRoom } from './placement-plan';
+import { PlacementPlan, roomsOn, type MachineRoom, type RoomSource } from './placement-plan';
 import { countFittingInHeartbeat } from './heartbeat-capacity';
 import {
   countFitting,
@@ -25,9 +25,8 @@
 const HEARTBEAT_AGE_MARGIN_MS = 1000;
 
 /** State of a partition that task placement depends on. */
-export interface PlacementContext {
+export interface PlacementContext extends RoomSource {
   readonly epoch: number;
-  readonly machines: ReadonlyMap<string, MachineState>;
   readonly jobs: ReadonlyMap<string, PartitionJob>;
   readonly quota: TeamQuota;
   readonly heartbeatIntervalMs: number;
@@ -36,14 +35,10 @@
   readonly counters: { started: number; placementPasses: number };
   /** Whether the state store lists a machine as assigned, that is, as one that may have tasks. */
   isAssigned(machine: string): boolean;
-  /** Capacity of a machine; null if its type is unknown. */
-  capacityOf(machine: MachineState): Resources | null;
   /** Free resources of a machine; null if its type, or the job of a task on it, is unknown. */
   freeOn(machine: MachineState): Resources | null;
   /** The open jobs in the order in which they are offered resources. */
   jobsInSchedulingOrder(): readonly PartitionJob[];
-  /** Those of the jobs whose tasks take no CPUs, in the same order. */
-  jobsWithoutCpus(): readonly PartitionJob[];
   /** Spreads new tasks over the machines; null if tasks are placed on spot machines and on the fullest machines first. */
   readonly spreader: PlacementSpreader | null;
 }
@@ -71,7 +66,7 @@
       machine.cordoned ||
       machine.transferTarget !== null ||
       machine.preemptionDeadline !== null ||
-      maxStartsOn(machine, this.context.jobs, now) === 0 ||
+      this.context.maxStartsOn(machine, now) === 0 ||
       machine.lastHeartbeatAt === null ||
       now - machine.lastHeartbeatAt > maxAgeMs
     );
@@ -121,14 +116,7 @@
   }
 
   private createPlan(now: number): PlacementPlan {
-    const rooms: MachineRoom[] = [];
-    const needsCpus = this.context.jobsWithoutCpus().length === 0;
-    for (const machine of this.context.machines.values()) {
-      if (!this.acceptsTasks(machine, now)) continue;
-      const maxStarts = maxStartsOn(machine, this.context.jobs, now);
-      const room = roomOn(machine, this.context.capacityOf(machine), { maxStarts, needsCpus });
-      if (room) rooms.push(room);
-    }
+    const rooms = roomsOn(this.context, (machine) => this.acceptsTasks(machine, now), now);
     const onDemand = ({ machine }: MachineRoom): number => (machine.record.spot ? 0 : 1);
     rooms.sort((a, b) => onDemand(a) - onDemand(b) || a.free.cpus - b.free.cpus);
     const pending = this.context.jobsInSchedulingOrder().filter(({ pendingCount }) => pendingCount > 0);
@@ -273,7 +261,7 @@
       job.startableCount(this.context.unconfirmedCount === 0),
       job.maxNewStarts(now),
       maxStartsOfJob(job, machine, now),
-      maxStartsOn(machine, this.context.jobs, now),
+      this.context.maxStartsOn(machine, now),
       allowedByQuota,
       countFittingInHeartbeat(machine.freeHeartbeatBytes, job.heartbeatBytes),
       commands.countFitting(job.startBytes),
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -52,6 +52,11 @@
   }));
 }
 
+/** These machine types by name. */
+export function machineTypesByName(types: readonly MachineType[]): Map<string, MachineType> {
+  return new Map(types.map((type) => [type.name, type]));
+}
+
 /** A machine as the cloud lists it. */
 export interface ListedMachine {
   name: string;
--- a/src/storage/replica-view.ts
+++ b/src/storage/replica-view.ts
@@ -1,6 +1,6 @@
 import { Subject } from 'rxjs';
 import { type Log } from '../transport/log';
-import { type MachineType } from '../protocol/cloud';
+import { machineTypesByName, type MachineType } from '../protocol/cloud';
 import { KEY_KINDS, keyKind, keys, nameInKey, partitionOfKey, valueNameOfKey } from '../protocol/keys';
 import {
   decodeAssignedMachines,
@@ -190,7 +190,7 @@
   private applyMachineTypes(value: unknown, revision: number): void {
     this.machineTypesRevision = value === null ? 0 : revision;
     // Machines of the types that were known may still run tasks.
-    if (value !== null) this.machineTypes = new Map((value as MachineType[]).map((t) => [t.name, t]));
+    if (value !== null) this.machineTypes = machineTypesByName(value as MachineType[]);
   }
 
   private applyLeader(value: unknown, term: number): void {
--- a/test/cluster/left-waiting.test.ts
+++ b/test/cluster/left-waiting.test.ts
@@ -86,13 +86,13 @@
 ): Promise<{ cluster: VirtualCluster; names: string[] }> {
   const cluster = new VirtualCluster(seed, { controllers, ...randomDayOptions(seed), ...FEW_MACHINES });
   cluster.users.faultsEndAt = FAULTS_END_AT;
+  let jobCount = 0;
   const submitRandomJobs = (count: number, from: number, spreadMs: number): void => {
     for (let i = 0; i < count; i++) {
       const n = jobCount++;
       cluster.time.at(from + cluster.randomInt(spreadMs), () => cluster.users.submitRandomJob(n));
     }
   };
-  let jobCount = 0;
   submitRandomJobs(4, 2500, 15_000);
   const names: string[] = [];
   for (const at of FAULT_PAIRS_AT) {
--- a/test/cluster/machine-recovery.ts
+++ b/test/cluster/machine-recovery.ts
@@ -1,5 +1,5 @@
 /** Simulations of machines that fail every task that they start, and then recover. */
-import { TEAMS, type JobParameters, type VirtualClusterOptions } from './cluster-options';
+import { MACHINE_TYPES, TEAMS, type JobParameters, type VirtualClusterOptions } from './cluster-options';
 import { schedule } from './faults';
 import { jobParameters } from './job-parameters';
 import { VirtualCluster } from './virtual-cluster';
@@ -52,7 +52,7 @@
   const failingFrom = firstJob ? FAILING_FROM.afterFirstJob : FAILING_FROM.withoutFirstJob;
   const recoveryAt = failingFrom + failingMs;
   cluster.users.faultsEndAt = recoveryAt;
-  if (!cloudHasOthers) for (const type of ['small', 'large']) cluster.cloud.exhaustedTypes.add(type);
+  if (!cloudHasOthers) for (const { label } of MACHINE_TYPES) cluster.cloud.exhaustedTypes.add(label);
   if (firstJob)
     cluster.time.at(FIRST_JOB_AT, () =>
       cluster.users.submitJob(900, jobParameters({ tasks: 4 * machines, runMs: 3000 })),
--- a/test/leader/machine-catalog.test.ts
+++ b/test/leader/machine-catalog.test.ts
@@ -4,7 +4,7 @@
   MachineCatalog,
   type MachineCatalogDependencies,
 } from '../../src/coordination/leader/machine-catalog';
-import { type MachineType } from '../../src/protocol/cloud';
+import { machineTypesByName, type MachineType } from '../../src/protocol/cloud';
 import { keys } from '../../src/protocol/keys';
 import { type TransactionResult } from '../../src/storage/state-store-client';
 import { LARGE_TYPE, SMALL_TYPE } from '../support/machine-types';
@@ -92,7 +92,7 @@
   const dependencies = {
     cloud: { tryAcquireCall: () => true, fetchCatalog: () => Promise.resolve(remaining.shift() ?? null) },
     replica: {
-      machineTypes: new Map(recorded.map((type) => [type.name, type])),
+      machineTypes: machineTypesByName(recorded),
       machineTypesRevision: recorded.length === 0 ? 0 : REVISION,
     },
     stateStore: {
--- a/test/partition/failing-tasks.test.ts
+++ b/test/partition/failing-tasks.test.ts
@@ -142,9 +142,8 @@
     (partition) => {
       addProvenMachine(partition, 'm');
       partition.addJob(jobSpec('job-2', { tasks: 8 }));
-      const failed = startCommands(partition.heartbeat('m', 4000));
       const failedAt = 5000;
-      assert.deepEqual(startedTasks(partition.heartbeat('m', failedAt, failed.map(failedTask))), []);
+      assert.deepEqual(startedTasks(failRound(partition, 'm', failedAt)), []);
       const waitedMs = firstStartAfter(partition, 'm', failedAt) - failedAt;
       assert.ok(waitedMs >= 5000 && waitedMs <= 20_000, `tried again after ${waitedMs} ms`);
     },
@@ -156,8 +155,7 @@
     (partition) => {
       addProvenMachine(partition, 'm');
       partition.addJob(jobSpec('job-2', { tasks: 8 }));
-      const failed = startCommands(partition.heartbeat('m', 4000));
-      partition.heartbeat('m', 5000, failed.map(failedTask));
+      failRound(partition, 'm', 5000);
       let now = 5000;
       let trial: Command[] = [];
       while (trial.length === 0 && now < 60_000)
@@ -181,8 +179,7 @@
     (partition) => {
       partition.addMachine('m', REVISION_AFTER_EPOCH);
       partition.addJob(jobSpec('job-1', { tasks: 8 }));
-      const failed = startCommands(partition.heartbeat('m', 0));
-      partition.heartbeat('m', 1000, failed.map(failedTask));
+      failRound(partition, 'm', 1000);
       assert.equal(isQuarantined(partition, 1000), true);
       const triedAt = firstStartAfter(partition, 'm', 1000);
       assert.ok(triedAt >= 9000 && triedAt <= 30_000, `tried again at ${triedAt} ms`);
@@ -198,6 +195,7 @@
     100,
   ],
   [
+    // Guards against an end of the pauses that lets a faulty job, or a job on a faulty machine, be started with every heartbeat.
     'neither a faulty job nor a faulty machine is tried often',
     (partition) => {
       addProvenMachine(partition, 'm');
@@ -224,8 +222,7 @@
     (partition) => {
       addProvenMachine(partition, 'm');
       partition.addJob(jobSpec('job-2', { tasks: 100 }));
-      const failed = startCommands(partition.heartbeat('m', 4000));
-      partition.heartbeat('m', 5000, failed.map(failedTask));
+      failRound(partition, 'm', 5000);
       partition.addJob(jobSpec('job-3', { tasks: 1 }));
       const [other] = startCommands(partition.heartbeat('m', 6000)) as [Command];
       assert.equal(other.ref, 'job-3');
@@ -290,11 +287,16 @@
   partition.addJob(jobSpec('job-1', { tasks: 30 }));
   for (const id of ids) {
     partition.addMachine(id, REVISION_AFTER_EPOCH);
-    const failed = startCommands(partition.heartbeat(id, 0));
-    partition.heartbeat(id, 1000, failed.map(failedTask));
+    failRound(partition, id, 1000);
   }
 }
 
+/** Starts as many tasks on a machine as it takes, and has them all fail 1 s later, at `failedAt`. Returns the commands of that answer. */
+function failRound(partition: PartitionHarness, id: string, failedAt: number): Command[] {
+  const failed = startCommands(partition.heartbeat(id, failedAt - 1000));
+  return partition.heartbeat(id, failedAt, failed.map(failedTask));
+}
+
 function startCommands(commands: readonly Command[]): Command[] {
   return commands.filter(({ op }) => op === 'start');
 }
